--- /dev/null
+++ b/internal/base/sqsettings/check.go
@@ -0,0 +1,125 @@
+package sqsettings
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// namePattern is what a daemon, a data centre and a region may be called.
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// required lists the fields that every file must have, with their checks.
+var required = []struct {
+	field string
+	value func(*Settings) string
+	check func(string) error
+}{
+	{"daemonName", func(s *Settings) string { return string(s.DaemonName) }, checkName},
+	{"dataCentre", func(s *Settings) string { return string(s.DataCentre) }, checkName},
+	{"region", func(s *Settings) string { return string(s.Region) }, checkName},
+	{"callerAddress", func(s *Settings) string { return s.CallerAddress }, checkAddress},
+	{"localAddress", func(s *Settings) string { return s.LocalAddress }, checkAddress},
+	{"peerAddress", func(s *Settings) string { return s.PeerAddress }, checkPeerAddress},
+	{"adminAddress", func(s *Settings) string { return s.AdminAddress }, checkAddress},
+}
+
+func (s *Settings) check() Faults {
+	var faults Faults
+	add := func(field string, err error) {
+		if err != nil {
+			faults = append(faults, Fault{Field: field, What: err.Error()})
+		}
+	}
+	for _, r := range required {
+		value := r.value(s)
+		if value == "" {
+			add(r.field, errors.New("is required"))
+			continue
+		}
+		add(r.field, r.check(value))
+	}
+	if len(s.PlatformAddresses) == 0 {
+		add("platformAddresses", errors.New("is required"))
+	}
+	for i, a := range s.PlatformAddresses {
+		add(fmt.Sprintf("platformAddresses[%d]", i), checkAddress(a))
+	}
+	for i, a := range s.SeedPeers {
+		add(fmt.Sprintf("seedPeers[%d]", i), checkAddress(a))
+	}
+	for i, d := range s.AdminKeyDigests {
+		add(fmt.Sprintf("adminKeyDigests[%d]", i), d.Check())
+	}
+	add("stopTimeout", checkPositive(s.StopTimeout))
+	add("staleListsAfter", checkNotNegative(s.StaleListsAfter))
+	add("log.level", checkLevel(s.Log.Level))
+	add("(addresses)", s.checkDistinct())
+	return faults
+}
+
+func (s *Settings) checkDistinct() error {
+	seen := make(map[string]string)
+	for _, r := range required[3:] {
+		a := r.value(s)
+		if other, ok := seen[a]; ok && a != "" {
+			return errors.Errorf("%s and %s are both %s", other, r.field, a)
+		}
+		seen[a] = r.field
+	}
+	return nil
+}
+
+func checkName(name string) error {
+	if !namePattern.MatchString(name) {
+		return errors.Errorf("%q must be 1 to 63 lower-case letters, digits and inner hyphens", name)
+	}
+	return nil
+}
+
+func checkAddress(address string) error {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return errors.Errorf("%q is not IP:port", address)
+	}
+	if a.Port() == 0 {
+		return errors.Errorf("%q has port 0", address)
+	}
+	return nil
+}
+
+// checkPeerAddress also rules out addresses that peers can't dial.
+func checkPeerAddress(address string) error {
+	if err := checkAddress(address); err != nil {
+		return err
+	}
+	if netip.MustParseAddrPort(address).Addr().IsUnspecified() {
+		return errors.Errorf("%q must be an address that peers can reach", address)
+	}
+	return nil
+}
+
+func checkPositive(s Span) error {
+	if s <= 0 {
+		return errors.Errorf("%v must be positive", time.Duration(s))
+	}
+	return nil
+}
+
+func checkNotNegative(s Span) error {
+	if s < 0 {
+		return errors.Errorf("%v must not be negative", time.Duration(s))
+	}
+	return nil
+}
+
+func checkLevel(level string) error {
+	switch level {
+	case "debug", "info", "warn", "error":
+		return nil
+	}
+	return errors.Errorf("%q is none of debug, info, warn, error", level)
+}
--- /dev/null
+++ b/internal/edge/sqplatform/platform.go
@@ -0,0 +1,66 @@
+// Package sqplatform meets the platform's key-value service. The rest of a
+// daemon knows it by the Store interface alone, so that another platform's
+// protocol is one more package like this one.
+package sqplatform
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Version is the platform's own count of writes. The version of a key is that
+// of its last write; 0 says that the key does not exist.
+type Version int64
+
+// LeaseID names a lease; 0 is no lease.
+type LeaseID int64
+
+// Record is a key with its value.
+type Record struct {
+	Key     string
+	Value   []byte
+	Version Version
+}
+
+// Event is a change of one key. A deleted key has a nil value.
+type Event struct {
+	Record  Record
+	Deleted bool
+}
+
+var (
+	// ErrConflict says that the key's version was not the expected one;
+	// nothing was written.
+	ErrConflict = errors.New("version conflict")
+	// ErrUncertain says that a write may or may not have taken effect.
+	ErrUncertain = errors.New("outcome of the write is unknown")
+	// ErrUnavailable says that the platform did not answer; nothing was read.
+	ErrUnavailable = errors.New("platform unavailable")
+	// ErrCompacted says that a watch's start is no longer held; read anew.
+	ErrCompacted = errors.New("version was compacted")
+)
+
+// Store is the platform's service as a daemon uses it.
+type Store interface {
+	// Get returns the record at key; its version is 0 if there is none.
+	Get(ctx context.Context, key string) (Record, error)
+	// List returns the records whose keys begin with prefix, in key order,
+	// and the platform's version at which they were read.
+	List(ctx context.Context, prefix string) ([]Record, Version, error)
+	// Swap writes value at key if the key's version is still expected. It
+	// returns the new version, ErrConflict or ErrUncertain.
+	Swap(ctx context.Context, key string, expected Version, value []byte, lease LeaseID) (Version, error)
+	// Delete removes key if its version is still expected. Its errors are
+	// those of Swap.
+	Delete(ctx context.Context, key string, expected Version) error
+	// Grant makes a lease that ends ttl after its last renewal.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// Renew renews a lease; it fails if the lease has ended.
+	Renew(ctx context.Context, lease LeaseID) error
+	// Watch sends the changes of the keys that begin with prefix, from the
+	// version after `after` on, to f in order. It returns when ctx ends, the
+	// platform is lost, or f returns an error.
+	Watch(ctx context.Context, prefix string, after Version, f func(Event) error) error
+}
--- /dev/null
+++ b/internal/state/sqlists/span.go
@@ -0,0 +1,18 @@
+package sqlists
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+func parseSpan(text string) (time.Duration, error) {
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, errors.Errorf("%q is no duration such as \"1500ms\"", text)
+	}
+	if v < 0 {
+		return 0, errors.Errorf("duration %q is negative", text)
+	}
+	return v, nil
+}
