Charge requests to keepers: ledgers of shares and loans, keepers record, takeover, handover

Rate and burst count over the whole fleet, so exactly one daemon may spend a piece of them at a time. The keepers record in the platform says which, with an epoch, a roster and the keeper of each of 64 shards; sqkeeper decides what evidence allows spending and when a successor may begin; sqlimit holds the ledgers; sqledger carries charges, loans, evidence and handovers.

Ruled out: moving tokens without their burst (the lender refills while they are under way); a lease in the platform for each keeper (an outage would stop all of them); a ledger made at a workspace's first charge (it would count the refill of a time in which the share was another's).

Not proved yet: loans between data centres, cuts, outages, and the naive versions that must fail.

--- /dev/null
+++ b/internal/edge/sqledger/borrow.go
@@ -0,0 +1,375 @@
+package sqledger
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
+	"github.com/sequoiatack/sequoiatack/internal/wire/sqledgerwire"
+)
+
+const (
+	// lendTimeout bounds the wait for another data centre's keeper.
+	lendTimeout = 250 * time.Millisecond
+	// awaitLimit is how long a charge may wait for other data centres.
+	awaitLimit = 300 * time.Millisecond
+	// leastBackoff and failBackoff are the pauses before a keeper that had no
+	// token, or did not answer, is asked again.
+	leastBackoff = 10 * time.Millisecond
+	failBackoff  = 500 * time.Millisecond
+	// borrowPeriod is the least time between two rounds of borrowing ahead.
+	borrowPeriod = 100 * time.Millisecond
+)
+
+// borrowing is the part of an account that concerns other data centres. The
+// shard's lock guards it.
+type borrowing struct {
+	waiting []waiter
+	asking  bool
+	// backoff is until when a data centre need not be asked for a token.
+	backoff map[sqid.DataCentreID]time.Time
+	// lenders is the data centre of each borrowed loan.
+	lenders map[sqlimit.LoanID]sqid.DataCentreID
+	next    time.Time
+	renewAt time.Time
+}
+
+// waiter is a charge that waits for a token of another data centre.
+type waiter struct {
+	since time.Time
+	reply func(outcome)
+}
+
+func firstLoanID(m sqkeeper.Member) uint64 {
+	return xxhash.Sum64String(string(m.Daemon)) ^ uint64(m.Incarnation)*0x9e3779b97f4a7c15
+}
+
+func (l *Ledger) newLoanID() sqlimit.LoanID {
+	return sqlimit.LoanID(l.loanIDs.Add(1))
+}
+
+// soonest returns the smaller of two waits, of which a negative one is none.
+func soonest(a, b time.Duration) time.Duration {
+	switch {
+	case a < 0:
+		return max(b, 0)
+	case b < 0:
+		return a
+	default:
+		return min(a, b)
+	}
+}
+
+// lenders returns the other data centres that may hold capacity of the
+// account's plan, nearest first.
+func (l *Ledger) lenders(a *account) []sqid.DataCentreID {
+	v := l.view.Load()
+	set := v.records[l.DataCentre].NewestShares()
+	home := sqlimit.Shares{DataCentres: set.DataCentres}.Home(a.workspace)
+	var from []sqid.DataCentreID
+	for _, dc := range v.order {
+		if dc != l.DataCentre && (a.split || dc == home) {
+			from = append(from, dc)
+		}
+	}
+	return from
+}
+
+// nextLender returns the nearest data centre that may have a token, and the
+// time until the first may have one if none has; negative if none ever will.
+func (l *Ledger) nextLender(a *account, now time.Time) (sqid.DataCentreID, time.Duration) {
+	wait := time.Duration(-1)
+	for _, dc := range l.lenders(a) {
+		until, ok := a.borrowing.backoff[dc]
+		if !ok || !now.Before(until) {
+			return dc, 0
+		}
+		wait = soonest(wait, until.Sub(now))
+	}
+	return "", wait
+}
+
+// await has a charge wait for another data centre's token. It reports false,
+// with the time until one may have a token, if none has.
+func (l *Ledger) await(a *account, now time.Time, reply func(outcome)) (time.Duration, bool) {
+	b := &a.borrowing
+	ctx := l.ctx.Load()
+	if ctx == nil || len(b.waiting) >= waitLimit {
+		return -1, false
+	}
+	if !b.asking {
+		dc, wait := l.nextLender(a, now)
+		if dc == "" {
+			return wait, false
+		}
+		b.asking = true
+		l.tasks.spawn(func() { l.ask(*ctx, a) })
+	}
+	b.waiting = append(b.waiting, waiter{since: now, reply: reply})
+	return 0, true
+}
+
+// ask asks the data centres in turn until no charge waits.
+func (l *Ledger) ask(ctx context.Context, a *account) {
+	for {
+		dc, n, want := l.nextAsk(a)
+		if n == 0 {
+			return
+		}
+		sent := time.Now()
+		answer, err := l.lend(ctx, dc, &sqledgerwire.LendRequest{
+			Workspace: string(a.workspace), Spend: uint32(n),
+			Rate: float64(want.Rate), Burst: float64(want.Burst), DataCentre: string(l.DataCentre),
+		})
+		l.answered(a, dc, n, sent, answer, err)
+	}
+}
+
+// nextAsk settles the waiting charges that can be, and returns whom to ask for
+// how many of the others.
+func (l *Ledger) nextAsk(a *account) (sqid.DataCentreID, int, sqlimit.Capacity) {
+	a.shard.mu.Lock()
+	defer a.shard.mu.Unlock()
+	now, b := time.Now(), &a.borrowing
+	if !l.current(a, now) {
+		b.settle(len(b.waiting), notKeeping)
+		b.asking = false
+		return "", 0, sqlimit.Capacity{}
+	}
+	b.settle(l.spend(a, now, len(b.waiting)), admitted)
+	late := 0
+	for late < len(b.waiting) && now.Sub(b.waiting[late].since) >= awaitLimit {
+		late++
+	}
+	b.settle(late, refused(leastBackoff))
+	dc, wait := l.nextLender(a, now)
+	if dc == "" {
+		after, _ := a.ledger.Until(now)
+		b.settle(len(b.waiting), refused(soonest(after, wait)))
+	}
+	b.asking = len(b.waiting) > 0
+	return dc, min(len(b.waiting), waitLimit), l.want(a, now)
+}
+
+// current reports whether the account may still be spent.
+func (l *Ledger) current(a *account, now time.Time) bool {
+	v := l.view.Load()
+	s := a.shard
+	return v.keeping(s.id, now) && s.since == v.since[s.id] && s.accounts[a.workspace] == a
+}
+
+func (l *Ledger) spend(a *account, now time.Time, n int) int {
+	for i := range n {
+		if !a.ledger.Spend(now, 1).Admitted {
+			return i
+		}
+		l.noteSpent(a.workspace, now)
+	}
+	return n
+}
+
+// settle answers the first n waiting charges.
+func (b *borrowing) settle(n int, o outcome) {
+	for _, w := range b.waiting[:n] {
+		w.reply(o)
+	}
+	b.waiting = slices.Delete(b.waiting, 0, n)
+}
+
+// answered takes in a lender's answer.
+func (l *Ledger) answered(a *account, dc sqid.DataCentreID, n int, sent time.Time, answer *sqledgerwire.LendAnswer, err error) {
+	a.shard.mu.Lock()
+	defer a.shard.mu.Unlock()
+	now, b := time.Now(), &a.borrowing
+	if b.backoff == nil {
+		b.backoff = make(map[sqid.DataCentreID]time.Time)
+	}
+	if err != nil || !answer.Keeping {
+		b.backoff[dc] = now.Add(failBackoff)
+		return
+	}
+	if int(answer.Spent) < n {
+		after := time.Duration(answer.RetryAfterUs) * time.Microsecond
+		b.backoff[dc] = now.Add(min(failBackoff, max(leastBackoff, after)))
+	}
+	if now.Sub(sent) < lendTimeout {
+		b.settle(min(int(answer.Spent), len(b.waiting)), admitted)
+	}
+	l.takeIn(a, dc, sent, now, answer)
+}
+
+// takeIn takes in the loans of an answer, if the account is still kept.
+func (l *Ledger) takeIn(a *account, dc sqid.DataCentreID, sent, now time.Time, answer *sqledgerwire.LendAnswer) {
+	if !l.current(a, now) {
+		return
+	}
+	for _, id := range answer.Extended {
+		a.ledger.Extended(now, sent, sqlimit.LoanID(id))
+	}
+	if answer.Loan == nil {
+		return
+	}
+	loan := loanFrom(answer.Loan)
+	if a.ledger.Borrow(now, sent, loan) {
+		if a.borrowing.lenders == nil {
+			a.borrowing.lenders = make(map[sqlimit.LoanID]sqid.DataCentreID)
+		}
+		a.borrowing.lenders[loan.ID] = dc
+	}
+}
+
+func loanFrom(m *sqledgerwire.Loan) sqlimit.Loan {
+	return sqlimit.Loan{
+		ID:       sqlimit.LoanID(m.Id),
+		Capacity: sqlimit.Capacity{Rate: squnit.Rate(m.Rate), Burst: squnit.Tokens(m.Burst)},
+		Tokens:   squnit.Tokens(m.Tokens),
+	}
+}
+
+func loanTo(loan sqlimit.Loan) *sqledgerwire.Loan {
+	return &sqledgerwire.Loan{
+		Id: uint64(loan.ID), Rate: float64(loan.Capacity.Rate),
+		Burst: float64(loan.Capacity.Burst), Tokens: float64(loan.Tokens),
+	}
+}
+
+// want returns what the account should borrow; nothing for a plan that is not
+// split, whose home spends for all.
+func (l *Ledger) want(a *account, now time.Time) sqlimit.Capacity {
+	if !a.split || a.share.Rate <= 0 {
+		return sqlimit.Capacity{}
+	}
+	return a.ledger.Want(now, a.plan)
+}
+
+// borrowAhead borrows from so many data centres as the want needs, nearest
+// first. The shard is locked.
+func (l *Ledger) borrowAhead(a *account, now time.Time) {
+	b, ctx := &a.borrowing, l.ctx.Load()
+	if now.Before(b.next) || ctx == nil {
+		return
+	}
+	b.next = now.Add(borrowPeriod)
+	want := l.want(a, now)
+	for _, dc := range l.lenders(a) {
+		if want.Rate <= 0 {
+			return
+		}
+		part := want.Min(a.share)
+		want = want.Minus(part)
+		request := &sqledgerwire.LendRequest{
+			Workspace: string(a.workspace), Rate: float64(part.Rate), Burst: float64(part.Burst),
+			DataCentre: string(l.DataCentre),
+		}
+		l.tasks.spawn(func() { l.exchange(*ctx, a, dc, request) })
+	}
+}
+
+// exchange sends a request that spends nothing and takes in its answer.
+func (l *Ledger) exchange(ctx context.Context, a *account, dc sqid.DataCentreID, request *sqledgerwire.LendRequest) {
+	sent := time.Now()
+	answer, err := l.lend(ctx, dc, request)
+	if err != nil || !answer.Keeping {
+		return
+	}
+	a.shard.mu.Lock()
+	defer a.shard.mu.Unlock()
+	l.takeIn(a, dc, sent, time.Now(), answer)
+}
+
+// renew extends the borrowed loans that are still needed and gives back the
+// others, before they end. The shard is locked.
+func (l *Ledger) renew(ctx context.Context, a *account, now time.Time) {
+	b := &a.borrowing
+	if len(b.lenders) == 0 || now.Before(b.renewAt) {
+		return
+	}
+	b.renewAt = now.Add(l.Terms.Loan / 4)
+	requests := make(map[sqid.DataCentreID]*sqledgerwire.LendRequest)
+	held := a.ledger.Borrowed(now)
+	b.forget(held)
+	for _, h := range held {
+		if h.End.Sub(now) > l.Terms.Loan/2 {
+			continue
+		}
+		dc := b.lenders[h.ID]
+		r := requests[dc]
+		if r == nil {
+			r = &sqledgerwire.LendRequest{Workspace: string(a.workspace), DataCentre: string(l.DataCentre)}
+			requests[dc] = r
+		}
+		if a.ledger.Needs(now, h.ID) {
+			r.Extend = append(r.Extend, uint64(h.ID))
+		} else if loan, ok := a.ledger.GiveBack(now, h.ID); ok {
+			r.GiveBack = append(r.GiveBack, loanTo(loan))
+		}
+	}
+	for dc, r := range requests {
+		l.tasks.spawn(func() { l.exchange(ctx, a, dc, r) })
+	}
+}
+
+// forget drops the lenders of loans that are no longer held.
+func (b *borrowing) forget(held []sqlimit.Held) {
+	for id := range b.lenders {
+		if !slices.ContainsFunc(held, func(h sqlimit.Held) bool { return h.ID == id }) {
+			delete(b.lenders, id)
+		}
+	}
+}
+
+// lend sends a request to the keeper of the workspace in another data centre.
+func (l *Ledger) lend(ctx context.Context, dc sqid.DataCentreID, request *sqledgerwire.LendRequest) (*sqledgerwire.LendAnswer, error) {
+	home, ok := l.Home(dc, sqkeeper.Shard(request.Workspace))
+	if !ok {
+		return nil, errNoKeeper
+	}
+	p, err := l.dial(home.Keeper.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
+	defer cancel()
+	return p.Lend(ctx, request)
+}
+
+// serveLend answers the keeper of another data centre.
+func (l *Ledger) serveLend(r *sqledgerwire.LendRequest) *sqledgerwire.LendAnswer {
+	w := sqid.WorkspaceID(r.Workspace)
+	s := &l.shards[sqkeeper.Shard(r.Workspace)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	a, o := l.open(s, w, now)
+	if a == nil {
+		return &sqledgerwire.LendAnswer{Keeping: o != notKeeping}
+	}
+	answer := &sqledgerwire.LendAnswer{Keeping: true}
+	for _, loan := range r.GiveBack {
+		a.ledger.TakeBack(now, sqlimit.LoanID(loan.Id), squnit.Tokens(loan.Tokens))
+	}
+	for _, id := range r.Extend {
+		if a.ledger.Extend(now, sqlimit.LoanID(id)) {
+			answer.Extended = append(answer.Extended, id)
+		}
+	}
+	answer.Spent = uint32(l.spend(a, now, int(min(r.Spend, waitLimit))))
+	wanted := sqlimit.Capacity{Rate: squnit.Rate(r.Rate), Burst: squnit.Tokens(r.Burst)}
+	if a.split {
+		if loan, ok := a.ledger.Lend(now, l.newLoanID(), wanted); ok {
+			answer.Loan = loanTo(loan)
+		}
+	}
+	if after, ok := a.ledger.Until(now); ok {
+		answer.RetryAfterUs = after.Microseconds()
+	} else {
+		answer.RetryAfterUs = failBackoff.Microseconds()
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/edge/sqledger/fleet_test.go
@@ -0,0 +1,536 @@
+package sqledger
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
+	"github.com/sequoiatack/sequoiatack/internal/wire/sqledgerwire"
+)
+
+// memory is a platform in memory that can be down, cut off, or lose answers.
+type memory struct {
+	mu      sync.Mutex
+	version sqplatform.Version
+	records map[string]sqplatform.Record
+	down    bool
+	lose    bool
+	calls   int
+}
+
+// access is one daemon's way to the platform.
+type access struct {
+	sqplatform.Store
+	m    *memory
+	n    *node
+	f    *fleet
+	wait time.Duration
+}
+
+func (a access) enter(ctx context.Context) error {
+	time.Sleep(a.wait)
+	a.n.gate()
+	a.m.mu.Lock()
+	defer a.m.mu.Unlock()
+	a.m.calls++
+	if ctx.Err() != nil || a.m.down || a.f.platformCut[a.n.dc] || a.n.isDead() {
+		return sqplatform.ErrUnavailable
+	}
+	return nil
+}
+
+func (a access) leave(ctx context.Context) error {
+	time.Sleep(a.wait)
+	a.n.gate()
+	return ctx.Err()
+}
+
+func (a access) Get(ctx context.Context, key string) (sqplatform.Record, error) {
+	if err := a.enter(ctx); err != nil {
+		return sqplatform.Record{}, err
+	}
+	a.m.mu.Lock()
+	r := a.m.records[key]
+	a.m.mu.Unlock()
+	return r, a.leave(ctx)
+}
+
+func (a access) List(ctx context.Context, prefix string) ([]sqplatform.Record, sqplatform.Version, error) {
+	if err := a.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	a.m.mu.Lock()
+	var all []sqplatform.Record
+	for _, r := range a.m.records {
+		if strings.HasPrefix(r.Key, prefix) {
+			all = append(all, r)
+		}
+	}
+	version := a.m.version
+	a.m.mu.Unlock()
+	slices.SortFunc(all, func(x, y sqplatform.Record) int { return strings.Compare(x.Key, y.Key) })
+	return all, version, a.leave(ctx)
+}
+
+func (a access) Swap(ctx context.Context, key string, expected sqplatform.Version, value []byte, _ sqplatform.LeaseID) (sqplatform.Version, error) {
+	if err := a.enter(ctx); err != nil {
+		return 0, err
+	}
+	a.m.mu.Lock()
+	if a.m.records[key].Version != expected {
+		a.m.mu.Unlock()
+		return 0, sqplatform.ErrConflict
+	}
+	a.m.version++
+	a.m.records[key] = sqplatform.Record{Key: key, Value: value, Version: a.m.version}
+	lose, version := a.m.lose, a.m.version
+	a.m.mu.Unlock()
+	if err := a.leave(ctx); err != nil || lose {
+		return 0, sqplatform.ErrUncertain
+	}
+	return version, nil
+}
+
+// node is one life of one daemon.
+type node struct {
+	*Ledger
+	f      *fleet
+	dc     sqid.DataCentreID
+	end    context.CancelFunc
+	mu     sync.Mutex
+	dead   bool
+	paused chan struct{}
+}
+
+// gate blocks while the node is paused.
+func (n *node) gate() {
+	for {
+		n.mu.Lock()
+		paused := n.paused
+		n.mu.Unlock()
+		if paused == nil {
+			return
+		}
+		<-paused
+	}
+}
+
+func (n *node) isDead() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dead
+}
+
+// fleet is daemons over fakes of the platform, the peers, the membership and
+// the facts. Run it under synctest.
+type fleet struct {
+	t      testing.TB
+	rnd    *rand.Rand
+	loads  *rand.Rand
+	store  *memory
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu          sync.Mutex
+	nodes       map[string]*node
+	names       []string
+	lives       sqid.Incarnation
+	suspected   map[sqkeeper.Member]bool
+	leaving     map[sqkeeper.Member]bool
+	platformCut map[sqid.DataCentreID]bool
+	cut         map[[2]sqid.DataCentreID]bool
+	isolated    map[string]bool
+	facts       map[string]fact
+	index       *sqlists.Index
+	// drop and double are the parts of messages lost and doubled; late is the
+	// largest extra delay.
+	drop, double float64
+	late         time.Duration
+	delay        func(from, to sqid.DataCentreID) time.Duration
+	tune         func(*Ledger)
+	spent        map[sqid.WorkspaceID][]time.Time
+	lends        int
+}
+
+type fact struct {
+	version uint64
+	body    []byte
+	subs    []func(uint64, []byte)
+}
+
+func newFleet(t testing.TB, seed uint64) *fleet {
+	f := &fleet{
+		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), loads: rand.New(rand.NewPCG(seed, 2)),
+		store:       &memory{records: make(map[string]sqplatform.Record)},
+		nodes:       make(map[string]*node),
+		suspected:   make(map[sqkeeper.Member]bool),
+		leaving:     make(map[sqkeeper.Member]bool),
+		platformCut: make(map[sqid.DataCentreID]bool),
+		cut:         make(map[[2]sqid.DataCentreID]bool),
+		isolated:    make(map[string]bool),
+		facts:       make(map[string]fact),
+		spent:       make(map[sqid.WorkspaceID][]time.Time),
+		delay: func(from, to sqid.DataCentreID) time.Duration {
+			if from == to {
+				return 200 * time.Microsecond
+			}
+			return 1500 * time.Microsecond
+		},
+	}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	return f
+}
+
+// plans sets the lists: workspaces with their rate and burst.
+func (f *fleet) plans(plans ...sqlists.Plan) {
+	lists := sqlists.Lists{Revision: 1, Plans: plans}
+	for _, p := range plans {
+		lists.Workspaces = append(lists.Workspaces, sqlists.Workspace{Name: sqid.WorkspaceID(p.Name), Plan: p.Name})
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.index = sqlists.NewIndex(lists)
+}
+
+// Index returns the lists, as Plans.
+func (f *fleet) Index() *sqlists.Index {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.index
+}
+
+// start begins a new life of a daemon.
+func (f *fleet) start(dc sqid.DataCentreID, name string) *node {
+	f.mu.Lock()
+	f.lives++
+	n := &node{f: f, dc: dc}
+	n.Ledger = &Ledger{
+		Self:       sqkeeper.Member{Daemon: sqid.DaemonID(name), Incarnation: f.lives, PeerAddress: name},
+		DataCentre: dc, Members: view2{f}, Plans: f, Facts: &factsOf{f: f, n: n}, Log: testLog(f.t),
+		Distance: func(o sqid.DataCentreID) time.Duration { return f.delay(dc, o) },
+	}
+	n.Store = access{m: f.store, n: n, f: f, wait: time.Millisecond}
+	n.Ledger.dial = func(address string) (peer, error) { return &simPeer{f: f, from: n, address: address}, nil }
+	n.Ledger.spent = func(w sqid.WorkspaceID, now time.Time) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.spent[w] = append(f.spent[w], now)
+	}
+	if f.tune != nil {
+		f.tune(n.Ledger)
+	}
+	f.nodes[name] = n
+	if !slices.Contains(f.names, name) {
+		f.names = append(f.names, name)
+	}
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(f.ctx)
+	n.end = cancel
+	go func() { _ = n.Run(ctx) }()
+	go n.tick(ctx)
+	return n
+}
+
+func (n *node) tick(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(TickPeriod)
+		n.gate()
+		n.Tick(time.Now())
+	}
+}
+
+// startAll starts a number of daemons in each of a number of data centres.
+func (f *fleet) startAll(dcs, each int) {
+	for d := range dcs {
+		for i := range each {
+			f.start(dcName(d), fmt.Sprintf("%s-%d", dcName(d), i))
+		}
+	}
+}
+
+func dcName(d int) sqid.DataCentreID {
+	return sqid.DataCentreID(fmt.Sprintf("dc%02d", d))
+}
+
+// kill ends a life without a word; the membership finds out a second later.
+func (f *fleet) kill(name string) {
+	n := f.nodes[name]
+	n.mu.Lock()
+	n.dead = true
+	n.mu.Unlock()
+	n.end()
+	f.suspectLater(n)
+}
+
+func (f *fleet) suspectLater(n *node) {
+	go func() {
+		time.Sleep(time.Second)
+		if n.isDead() || n.isPaused() {
+			f.mu.Lock()
+			f.suspected[n.Self] = true
+			f.mu.Unlock()
+		}
+	}()
+}
+
+func (n *node) isPaused() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.paused != nil
+}
+
+func (f *fleet) pause(name string) {
+	n := f.nodes[name]
+	n.mu.Lock()
+	if n.paused == nil {
+		n.paused = make(chan struct{})
+	}
+	n.mu.Unlock()
+	f.suspectLater(n)
+}
+
+func (f *fleet) resume(name string) {
+	n := f.nodes[name]
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.paused == nil {
+		return
+	}
+	close(n.paused)
+	n.paused = nil
+	f.mu.Lock()
+	delete(f.suspected, n.Self)
+	f.mu.Unlock()
+}
+
+// stop ends a life in the planned way.
+func (f *fleet) stop(name string) error {
+	n := f.nodes[name]
+	f.mu.Lock()
+	f.leaving[n.Self] = true
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(f.ctx, 10*time.Second)
+	defer cancel()
+	err := n.Stop(ctx)
+	time.Sleep(100 * time.Millisecond)
+	n.mu.Lock()
+	n.dead = true
+	n.mu.Unlock()
+	n.end()
+	f.mu.Lock()
+	f.suspected[n.Self] = true
+	f.mu.Unlock()
+	return err
+}
+
+// view2 is the membership as all daemons see it.
+type view2 struct{ f *fleet }
+
+func (v view2) Alive(dc sqid.DataCentreID) []sqkeeper.Member {
+	v.f.mu.Lock()
+	defer v.f.mu.Unlock()
+	var alive []sqkeeper.Member
+	for _, name := range v.f.names {
+		n := v.f.nodes[name]
+		if n.dc == dc && !v.f.suspected[n.Self] && !v.f.leaving[n.Self] {
+			alive = append(alive, n.Self)
+		}
+	}
+	return alive
+}
+
+// factsOf is one daemon's way to the facts.
+type factsOf struct {
+	f *fleet
+	n *node
+}
+
+func (s *factsOf) Publish(name string, version uint64, body []byte) {
+	s.f.mu.Lock()
+	held := s.f.facts[name]
+	if version <= held.version || s.f.isolated[string(s.n.Self.Daemon)] {
+		s.f.mu.Unlock()
+		return
+	}
+	held.version, held.body = version, body
+	s.f.facts[name] = held
+	s.f.mu.Unlock()
+	for _, sub := range held.subs {
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			sub(version, body)
+		}()
+	}
+}
+
+func (s *factsOf) OnFact(name string, f func(uint64, []byte)) {
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	held := s.f.facts[name]
+	held.subs = append(held.subs, func(version uint64, body []byte) {
+		if s.f.reaches(s.n, s.n) {
+			f(version, body)
+		}
+	})
+	s.f.facts[name] = held
+	if held.version > 0 {
+		go f(held.version, held.body)
+	}
+}
+
+var errLost = errors.New("message lost")
+
+// simPeer is another daemon as seen over the fake network.
+type simPeer struct {
+	f       *fleet
+	from    *node
+	address string
+}
+
+func (f *fleet) reaches(from, to *node) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a, b := min(from.dc, to.dc), max(from.dc, to.dc)
+	cut := f.cut[[2]sqid.DataCentreID{a, b}] || f.isolated[string(from.Self.Daemon)] || f.isolated[string(to.Self.Daemon)]
+	return !cut && !from.isDead() && !to.isDead() && f.rnd.Float64() >= f.drop
+}
+
+func (f *fleet) travel(from, to sqid.DataCentreID) {
+	f.mu.Lock()
+	d := f.delay(from, to)
+	if f.late > 0 && f.rnd.Float64() < 0.05 {
+		d += time.Duration(f.rnd.Int64N(int64(f.late)))
+	}
+	f.mu.Unlock()
+	time.Sleep(d)
+}
+
+// call carries one message there and its answer back. A message that the
+// caller has given up still arrives.
+func call[A any](p *simPeer, ctx context.Context, serve func(*node) A) (A, error) {
+	answers := make(chan A, 2)
+	failed := make(chan struct{}, 2)
+	carry := func() {
+		p.f.mu.Lock()
+		to := p.f.nodes[p.address]
+		p.f.mu.Unlock()
+		p.f.travel(p.from.dc, to.dc)
+		to.gate()
+		if !p.f.reaches(p.from, to) {
+			failed <- struct{}{}
+			return
+		}
+		a := serve(to)
+		to.gate()
+		p.f.travel(to.dc, p.from.dc)
+		p.from.gate()
+		if p.f.reaches(to, p.from) {
+			answers <- a
+		}
+	}
+	go carry()
+	p.f.mu.Lock()
+	doubled := p.f.rnd.Float64() < p.f.double
+	p.f.mu.Unlock()
+	if doubled {
+		go carry()
+	}
+	var none A
+	select {
+	case a := <-answers:
+		return a, nil
+	case <-failed:
+		return none, errLost
+	case <-ctx.Done():
+		p.from.gate()
+		return none, ctx.Err()
+	}
+}
+
+func (p *simPeer) Charge(ctx context.Context, w sqid.WorkspaceID) (outcome, error) {
+	return call(p, ctx, func(n *node) outcome {
+		replies := make(chan outcome, 1)
+		if o, ok := n.decide(w, func(o outcome) { replies <- o }); ok {
+			return o
+		}
+		select {
+		case o := <-replies:
+			return o
+		case <-p.f.ctx.Done():
+			return notKeeping
+		}
+	})
+}
+
+func (p *simPeer) Lend(ctx context.Context, r *sqledgerwire.LendRequest) (*sqledgerwire.LendAnswer, error) {
+	p.f.mu.Lock()
+	p.f.lends++
+	p.f.mu.Unlock()
+	return call(p, ctx, func(n *node) *sqledgerwire.LendAnswer { return n.serveLend(r) })
+}
+
+func (p *simPeer) Witness(ctx context.Context, r *sqledgerwire.WitnessRequest) (*sqledgerwire.WitnessAnswer, error) {
+	return call(p, ctx, func(n *node) *sqledgerwire.WitnessAnswer { return n.serveWitness(r) })
+}
+
+func (p *simPeer) Handover(ctx context.Context, r *sqledgerwire.HandoverRequest) (*sqledgerwire.HandoverAnswer, error) {
+	return call(p, ctx, func(n *node) *sqledgerwire.HandoverAnswer { return n.serveHandover(r) })
+}
+
+// excess returns by how many tokens the spending of a workspace exceeds one
+// bucket of the plan, at the worst window.
+func (f *fleet) excess(w sqid.WorkspaceID, plan sqlimit.Capacity) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return excess(f.spent[w], plan)
+}
+
+// excess checks every window: admitted <= burst + rate*window holds in all of
+// them just if a bucket that begins full admits all; what it lacks at most is
+// the excess of the worst window.
+func excess(times []time.Time, plan sqlimit.Capacity) float64 {
+	slices.SortFunc(times, time.Time.Compare)
+	level, worst := float64(plan.Burst), 0.0
+	for i, t := range times {
+		if i > 0 {
+			level = min(float64(plan.Burst), level+float64(plan.Rate)*t.Sub(times[i-1]).Seconds())
+		}
+		level--
+		worst = max(worst, -level)
+	}
+	if worst < 1e-6 {
+		return 0
+	}
+	return worst
+}
+
+// testLog logs to the test's output if it is verbose.
+func testLog(t testing.TB) logr.Logger {
+	if !testing.Verbose() {
+		return logr.Discard()
+	}
+	return funcr.New(func(prefix, args string) { t.Log(time.Now().Format("05.000"), prefix, args) }, funcr.Options{})
+}
+
+// close ends all daemons and waits until their goroutines have ended.
+func (f *fleet) close() {
+	for name := range f.nodes {
+		f.resume(name)
+	}
+	f.cancel()
+	time.Sleep(time.Minute)
+}
--- /dev/null
+++ b/internal/edge/sqledger/ledger_test.go
@@ -0,0 +1,165 @@
+package sqledger
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
+)
+
+// tally counts the outcomes of charges.
+type tally struct {
+	sent, admitted, refused, failed int
+	wrongly                         int
+}
+
+// drive sends Poisson charges of a workspace, each through one of the entries,
+// and compares with one bucket of the whole plan that sees the same charges.
+func (f *fleet) drive(w sqid.WorkspaceID, plan sqlimit.Capacity, load float64, span time.Duration, entry func() *node) tally {
+	var t tally
+	ideal := sqlimit.Bucket{Capacity: plan, Tokens: plan.Burst, Time: time.Now()}
+	end, done := time.Now().Add(span), make(chan bool, 1<<16)
+	next := time.Now()
+	for {
+		next = next.Add(time.Duration(f.loads.ExpFloat64() / load * float64(time.Second)))
+		if next.After(end) {
+			break
+		}
+		time.Sleep(time.Until(next))
+		ideal.Advance(time.Now())
+		within := ideal.Take(1)
+		n := entry()
+		t.sent++
+		go func() {
+			d, err := n.Charge(f.ctx, w)
+			f.mu.Lock()
+			switch {
+			case err != nil:
+				t.failed++
+			case d.Admitted:
+				t.admitted++
+			default:
+				t.refused++
+			}
+			if within && !d.Admitted {
+				t.wrongly++
+			}
+			f.mu.Unlock()
+			done <- true
+		}()
+	}
+	for range t.sent {
+		<-done
+	}
+	return t
+}
+
+func (f *fleet) anyEntry() *node {
+	return f.nodes[f.names[f.loads.IntN(len(f.names))]]
+}
+
+func plan(name string, rate, burst float64) sqlists.Plan {
+	p := sqlists.Plan{Name: sqid.PlanID(name)}
+	p.Rate, p.Burst = p.Rate+sqRate(rate), p.Burst+sqTokens(burst)
+	return p
+}
+
+func TestOneDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(t, 1)
+		defer f.close()
+		f.plans(plan("shop", 100, 50))
+		f.startAll(1, 3)
+		time.Sleep(10 * time.Second)
+		size := sqlimit.Capacity{Rate: 100, Burst: 50}
+		got := f.drive("shop", size, 90, 20*time.Second, f.anyEntry)
+		t.Logf("%+v platform calls %d", got, f.store.calls)
+		c.Check(got.failed, qt.Equals, 0)
+		c.Check(got.wrongly, qt.Equals, 0)
+		got = f.drive("shop", size, 500, 5*time.Second, f.anyEntry)
+		t.Logf("%+v", got)
+		c.Check(f.excess("shop", size), qt.Equals, 0.0)
+	})
+}
+
+// keeperOf returns the daemon that keeps a workspace in a data centre.
+func (f *fleet) keeperOf(dc sqid.DataCentreID, w sqid.WorkspaceID) string {
+	for _, name := range f.names {
+		n := f.nodes[name]
+		if n.dc == dc && !n.isDead() && n.Keeping(sqkeeper.Shard(string(w)), time.Now()) {
+			return name
+		}
+	}
+	return ""
+}
+
+func TestPlannedStopRefusesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(t, 1)
+		defer f.close()
+		size := sqlimit.Capacity{Rate: 100, Burst: 50}
+		f.plans(plan("shop", 100, 50))
+		f.startAll(1, 3)
+		time.Sleep(15 * time.Second)
+		for range 2 {
+			name := f.keeperOf("dc00", "shop")
+			c.Assert(name, qt.Not(qt.Equals), "")
+			others := slices.DeleteFunc(slices.Clone(f.names), func(o string) bool { return o == name || f.nodes[o].isDead() })
+			go func() {
+				time.Sleep(2 * time.Second)
+				c.Check(f.stop(name), qt.IsNil)
+			}()
+			got := f.drive("shop", size, 90, 5*time.Second, func() *node { return f.nodes[others[f.loads.IntN(len(others))]] })
+			t.Logf("%+v", got)
+			c.Check(got.failed+got.wrongly, qt.Equals, 0)
+		}
+		c.Check(f.excess("shop", size), qt.Equals, 0.0)
+	})
+}
+
+func TestTakeover(t *testing.T) {
+	for _, fault := range []string{"kill", "pause", "restart"} {
+		t.Run(fault, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newFleet(t, 1)
+				defer f.close()
+				size := sqlimit.Capacity{Rate: 100, Burst: 50}
+				f.plans(plan("shop", 100, 50))
+				f.startAll(1, 3)
+				time.Sleep(15 * time.Second)
+				name := f.keeperOf("dc00", "shop")
+				entry := f.nodes[f.names[0]]
+				if entry.Self.Daemon == sqid.DaemonID(name) {
+					entry = f.nodes[f.names[1]]
+				}
+				began := time.Now()
+				if fault == "pause" {
+					f.pause(name)
+				} else {
+					f.kill(name)
+				}
+				if fault == "restart" {
+					f.start("dc00", name)
+				}
+				for f.keeperOf("dc00", "shop") == "" || f.keeperOf("dc00", "shop") == name && fault == "pause" {
+					time.Sleep(10 * time.Millisecond)
+				}
+				t.Logf("taken over by %s after %v", f.keeperOf("dc00", "shop"), time.Since(began))
+				f.resume(name)
+				got := f.drive("shop", size, 300, 10*time.Second, func() *node { return entry })
+				t.Logf("%+v", got)
+				c.Check(f.excess("shop", size), qt.Equals, 0.0)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/policy/sqlimit/ledger.go
@@ -0,0 +1,312 @@
+package sqlimit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+)
+
+const (
+	// headroom is the part by which a ledger's rate should exceed its demand.
+	headroom = 1.25
+	// reserve is the part of its capacity that a ledger never lends.
+	reserve = 1.0 / 16
+	// wantFrom is the part of the rate from which on a ledger wants to borrow.
+	wantFrom = 0.9
+	// leastLoan is the smallest burst worth lending, in tokens.
+	leastLoan = 1
+)
+
+// Ledger is what one keeper may spend for one workspace: its data centre's
+// share, without what is lent, with what is borrowed.
+type Ledger struct {
+	terms    Terms
+	bucket   Bucket
+	share    Capacity
+	lent     []Held
+	borrowed []Held
+	demand   demand
+}
+
+// NewLedger returns a ledger of a share that nobody has spent since the given
+// time. It held no tokens then: whoever spent the share before may have spent
+// a whole burst at that time.
+func NewLedger(terms Terms, share Capacity, since time.Time) *Ledger {
+	return &Ledger{
+		terms:  terms,
+		share:  share,
+		bucket: Bucket{Capacity: share, Time: since},
+	}
+}
+
+// Fill sets the tokens to the whole burst. It is safe only for a share that
+// nobody has ever spent.
+func (l *Ledger) Fill() {
+	l.bucket.Tokens = l.bucket.Capacity.Burst
+}
+
+// advance refills up to now, in steps at each end of a loan.
+func (l *Ledger) advance(now time.Time) {
+	for {
+		end, ok := l.nextEnd(now)
+		if !ok {
+			break
+		}
+		l.bucket.Advance(end)
+		l.lent = dropEnded(l.lent, end)
+		l.borrowed = dropEnded(l.borrowed, end)
+		l.resize()
+	}
+	l.bucket.Advance(now)
+}
+
+// nextEnd returns the earliest end of a loan at now or before.
+func (l *Ledger) nextEnd(now time.Time) (time.Time, bool) {
+	var first time.Time
+	consider := func(t time.Time) {
+		if !t.IsZero() && !t.After(now) && (first.IsZero() || t.Before(first)) {
+			first = t
+		}
+	}
+	for _, h := range l.lent {
+		consider(h.End)
+	}
+	for _, h := range l.borrowed {
+		consider(h.End)
+	}
+	return first, !first.IsZero()
+}
+
+func dropEnded(held []Held, now time.Time) []Held {
+	return slices.DeleteFunc(held, func(h Held) bool { return !h.End.After(now) })
+}
+
+func (l *Ledger) resize() {
+	own := l.share
+	for _, h := range l.lent {
+		own = own.Minus(h.Capacity)
+	}
+	for _, h := range l.borrowed {
+		own = own.Plus(h.Capacity)
+	}
+	l.bucket.Resize(own)
+}
+
+// Decision is the answer to a charge.
+type Decision struct {
+	// Admitted says that the tokens are spent.
+	Admitted bool
+	// RetryAfter is the time until the ledger expects to hold the tokens; it
+	// is 0 if they are spent, and negative if it never will.
+	RetryAfter time.Duration
+}
+
+// Charge spends n tokens for requests of the ledger's own data centre.
+func (l *Ledger) Charge(now time.Time, n squnit.Tokens) Decision {
+	l.demand.add(now, n)
+	return l.Spend(now, n)
+}
+
+// Spend spends n tokens without counting them as the ledger's own demand.
+func (l *Ledger) Spend(now time.Time, n squnit.Tokens) Decision {
+	l.advance(now)
+	if l.bucket.Take(n) {
+		return Decision{Admitted: true}
+	}
+	after, ok := l.bucket.Until(n)
+	if !ok {
+		after = -1
+	}
+	return Decision{RetryAfter: after}
+}
+
+// Want returns the capacity that the ledger should borrow ahead of its need,
+// in proportion to the whole plan; it is zero if there is no need.
+func (l *Ledger) Want(now time.Time, plan Capacity) Capacity {
+	l.advance(now)
+	d, have := l.demand.at(now), l.bucket.Capacity.Rate
+	if plan.Rate <= 0 || d < have*wantFrom {
+		return Capacity{}
+	}
+	rate := min(d*headroom, plan.Rate) - have
+	if rate <= 0 {
+		return Capacity{}
+	}
+	return Capacity{Rate: rate, Burst: plan.Burst * squnit.Tokens(rate/plan.Rate)}
+}
+
+// Lend grants a loan of at most what is wanted and never more than is free.
+// The ledger has stopped using it when Lend returns.
+func (l *Ledger) Lend(now time.Time, id LoanID, wanted Capacity) (Loan, bool) {
+	l.advance(now)
+	have := l.bucket.Capacity
+	free := min(have.Rate-l.demand.at(now)*headroom, have.Rate*(1-reserve))
+	if have.Rate <= 0 || free <= 0 || wanted.Rate <= 0 {
+		return Loan{}, false
+	}
+	part := min(float64(wanted.Rate), float64(free)) / float64(have.Rate)
+	lent := have.Times(part)
+	if lent.Burst < leastLoan {
+		return Loan{}, false
+	}
+	loan := Loan{ID: id, Capacity: lent, Tokens: l.bucket.Tokens * squnit.Tokens(part)}
+	l.bucket.Tokens -= loan.Tokens
+	l.lent = append(l.lent, Held{ID: id, Capacity: lent, End: l.lenderEnd(now)})
+	l.resize()
+	return loan, true
+}
+
+func (l *Ledger) lenderEnd(now time.Time) time.Time {
+	return now.Add(l.terms.Loan + l.terms.Drift)
+}
+
+// Extend begins a new term of a loan that the ledger has granted. It reports
+// false if the loan has ended or the ledger needs its capacity itself.
+func (l *Ledger) Extend(now time.Time, id LoanID) bool {
+	l.advance(now)
+	i := indexOf(l.lent, id)
+	if i < 0 || l.demand.at(now)*headroom > l.bucket.Capacity.Rate {
+		return false
+	}
+	l.lent[i].End = l.lenderEnd(now)
+	return true
+}
+
+// TakeBack ends a loan that the borrower has stopped using, with the tokens
+// that were left in it. It has no effect on a loan that has ended.
+func (l *Ledger) TakeBack(now time.Time, id LoanID, tokens squnit.Tokens) {
+	l.advance(now)
+	i := indexOf(l.lent, id)
+	if i < 0 {
+		return
+	}
+	back := l.lent[i].Capacity
+	l.lent = slices.Delete(l.lent, i, i+1)
+	l.resize()
+	l.bucket.Tokens += min(max(0, tokens), back.Burst)
+	l.bucket.Advance(now)
+}
+
+// Borrow takes in a loan that was asked for at sent. It reports false, and
+// changes nothing, if the term is over or the loan is already held.
+func (l *Ledger) Borrow(now, sent time.Time, loan Loan) bool {
+	l.advance(now)
+	end := sent.Add(l.terms.Loan)
+	if !end.After(now) || indexOf(l.borrowed, loan.ID) >= 0 {
+		return false
+	}
+	l.borrowed = append(l.borrowed, Held{ID: loan.ID, Capacity: loan.Capacity, End: end})
+	l.resize()
+	l.bucket.Tokens += min(loan.Tokens, loan.Capacity.Burst)
+	return true
+}
+
+// Extended begins a new term of a borrowed loan, from when the extension was
+// asked for.
+func (l *Ledger) Extended(now, sent time.Time, id LoanID) {
+	l.advance(now)
+	if i := indexOf(l.borrowed, id); i >= 0 {
+		l.borrowed[i].End = laterOf(l.borrowed[i].End, sent.Add(l.terms.Loan))
+	}
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// GiveBack stops using a borrowed loan and returns it with its part of the
+// tokens; false if the loan is not held.
+func (l *Ledger) GiveBack(now time.Time, id LoanID) (Loan, bool) {
+	l.advance(now)
+	i := indexOf(l.borrowed, id)
+	if i < 0 {
+		return Loan{}, false
+	}
+	h := l.borrowed[i]
+	loan := Loan{ID: id, Capacity: h.Capacity}
+	if have := l.bucket.Capacity.Burst; have > 0 {
+		loan.Tokens = l.bucket.Tokens * min(1, h.Capacity.Burst/have)
+	}
+	l.bucket.Tokens -= loan.Tokens
+	l.borrowed = slices.Delete(l.borrowed, i, i+1)
+	l.resize()
+	return loan, true
+}
+
+// Needs reports whether the ledger would want to borrow again if it gave the
+// loan back.
+func (l *Ledger) Needs(now time.Time, id LoanID) bool {
+	l.advance(now)
+	i := indexOf(l.borrowed, id)
+	return i >= 0 && l.demand.at(now)*headroom > l.bucket.Capacity.Rate-l.borrowed[i].Capacity.Rate
+}
+
+// Reshare changes the share as of now. Tokens that no longer fit are lost;
+// what is lent stays lent until its end.
+func (l *Ledger) Reshare(now time.Time, share Capacity) {
+	if share == l.share {
+		return
+	}
+	l.advance(now)
+	l.share = share
+	l.resize()
+}
+
+// Idle reports whether the ledger could be made anew at now without a loss:
+// it is full, and no loan is open.
+func (l *Ledger) Idle(now time.Time) bool {
+	l.advance(now)
+	return len(l.lent)+len(l.borrowed) == 0 && l.bucket.Tokens >= l.bucket.Capacity.Burst
+}
+
+// Tokens returns the tokens that the ledger holds at now.
+func (l *Ledger) Tokens(now time.Time) squnit.Tokens {
+	l.advance(now)
+	return l.bucket.Tokens
+}
+
+// Capacity returns the capacity that the ledger may use at now.
+func (l *Ledger) Capacity(now time.Time) Capacity {
+	l.advance(now)
+	return l.bucket.Capacity
+}
+
+// Lent returns the loans that the ledger has granted and not got back.
+func (l *Ledger) Lent(now time.Time) []Held {
+	l.advance(now)
+	return slices.Clone(l.lent)
+}
+
+// Borrowed returns the loans that the ledger may use at now.
+func (l *Ledger) Borrowed(now time.Time) []Held {
+	l.advance(now)
+	return slices.Clone(l.borrowed)
+}
+
+// Restore sets the tokens and the granted loans of a ledger that another
+// keeper has handed over. That keeper has stopped spending it.
+func (l *Ledger) Restore(now time.Time, tokens squnit.Tokens, lent []Held) {
+	l.bucket.Time = now
+	l.lent = lent
+	l.resize()
+	l.bucket.Tokens = min(max(0, tokens), l.bucket.Capacity.Burst)
+}
+
+func indexOf(held []Held, id LoanID) int {
+	return slices.IndexFunc(held, func(h Held) bool { return h.ID == id })
+}
+
+// Until returns the time until the ledger expects to hold one token, negative
+// and false if it never will.
+func (l *Ledger) Until(now time.Time) (time.Duration, bool) {
+	l.advance(now)
+	after, ok := l.bucket.Until(1)
+	if !ok {
+		return -1, false
+	}
+	return after, true
+}
--- /dev/null
+++ b/internal/state/sqkeeper/shares.go
@@ -0,0 +1,88 @@
+package sqkeeper
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
+)
+
+// SharesEpoch counts the versions of the record of shares.
+type SharesEpoch uint64
+
+// SharesSet is the data centres that hold shares of the plans. The record of
+// shares holds the newest set. A data centre applies a set by writing it into
+// its keepers record; until all data centres of the set have settled it, each
+// uses the smallest of its shares in the sets that it knows. A data centre
+// joins by adding itself; it leaves by an operator's word alone, since one
+// that is cut off may go on spending its share.
+type SharesSet struct {
+	Epoch       SharesEpoch         `json:"epoch"`
+	DataCentres []sqid.DataCentreID `json:"dataCentres"`
+}
+
+// Encode returns the set as JSON.
+func (s SharesSet) Encode() []byte {
+	body, err := json.Marshal(s)
+	if err != nil {
+		panic("sqkeeper: shares have no JSON: " + err.Error())
+	}
+	return body
+}
+
+// DecodeShares reads a set.
+func DecodeShares(body []byte) (SharesSet, error) {
+	var s SharesSet
+	if err := json.Unmarshal(body, &s); err != nil {
+		return s, errors.Wrap(err, "record of shares")
+	}
+	return s, nil
+}
+
+// With returns the next set, with dc added.
+func (s SharesSet) With(dc sqid.DataCentreID) SharesSet {
+	return SharesSet{Epoch: s.Epoch + 1, DataCentres: append(slices.Clone(s.DataCentres), dc)}
+}
+
+// Without returns the set as it was before dc joined.
+func (s SharesSet) Without(dc sqid.DataCentreID) SharesSet {
+	others := slices.DeleteFunc(slices.Clone(s.DataCentres), func(o sqid.DataCentreID) bool { return o == dc })
+	return SharesSet{Epoch: s.Epoch - 1, DataCentres: others}
+}
+
+// Share returns a data centre's share of a plan under the sets of its keepers
+// record. settled tells what each data centre has settled.
+func (r *Record) Share(w sqid.WorkspaceID, plan sqlimit.Capacity, settled func(sqid.DataCentreID) SharesEpoch) sqlimit.Capacity {
+	if len(r.Shares) == 0 {
+		return sqlimit.Capacity{}
+	}
+	newest := r.Shares[len(r.Shares)-1]
+	share := newest.share(r.DataCentre, w, plan)
+	if newest.Agreed(settled) {
+		return share
+	}
+	for _, s := range r.Shares[:len(r.Shares)-1] {
+		share = share.Min(s.share(r.DataCentre, w, plan))
+	}
+	return share
+}
+
+func (s SharesSet) share(dc sqid.DataCentreID, w sqid.WorkspaceID, plan sqlimit.Capacity) sqlimit.Capacity {
+	return sqlimit.Shares{DataCentres: s.DataCentres}.Of(dc, w, plan)
+}
+
+// Agreed reports whether every data centre of the set has settled it.
+func (s SharesSet) Agreed(settled func(sqid.DataCentreID) SharesEpoch) bool {
+	return !slices.ContainsFunc(s.DataCentres, func(dc sqid.DataCentreID) bool { return settled(dc) < s.Epoch })
+}
+
+// NewestShares returns the newest set of shares of the record.
+func (r *Record) NewestShares() SharesSet {
+	if len(r.Shares) == 0 {
+		return SharesSet{}
+	}
+	return r.Shares[len(r.Shares)-1]
+}
--- a/internal/state/sqlists/index.go
+++ b/internal/state/sqlists/index.go
@@ -1,6 +1,8 @@
 package sqlists
 
 import (
+	"iter"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -61,6 +63,11 @@
 	return x.workspaces[w]
 }
 
+// Workspaces returns the workspaces of the lists, in no order.
+func (x *Index) Workspaces() iter.Seq[sqid.WorkspaceID] {
+	return maps.Keys(x.workspaces)
+}
+
 // Workspace returns the workspace that a key belongs to.
 func (x *Index) Workspace(d sqid.KeyDigest) (sqid.WorkspaceID, bool) {
 	w, ok := x.keys[d]
