--- /dev/null
+++ b/internal/edge/sqproblem/problem.go
@@ -0,0 +1,104 @@
+// Package sqproblem writes refusals and failures as problem details (RFC 9457),
+// in the same form to callers and to operators.
+package sqproblem
+
+import (
+	"cmp"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
+)
+
+const (
+	// ContentType is the media type of a problem.
+	ContentType = "application/problem+json"
+	// RunHeader tells whether the request has run: run, not-run or unknown.
+	RunHeader = "Sequoia-Run"
+
+	typePrefix         = "urn:sequoiatack:problem:"
+	typeNone           = "about:blank"
+	titleClientClosed  = "Client Closed Request"
+	statusClientClosed = 499
+)
+
+// Problem is the body of a refusal.
+type Problem struct {
+	Type   string           `json:"type"`
+	Title  string           `json:"title"`
+	Status int              `json:"status"`
+	Reason sqreason.Refusal `json:"reason,omitempty"`
+	Run    string           `json:"run"`
+	Step   sqerror.Step     `json:"step,omitempty"`
+	Peer   sqid.DaemonID    `json:"peer,omitempty"`
+	Detail string           `json:"detail,omitempty"`
+	// Faults lists all that is wrong with a document that was sent.
+	Faults []Fault `json:"faults,omitempty"`
+	// RetryAfter is sent as a header if it is positive.
+	RetryAfter time.Duration `json:"-"`
+}
+
+// Fault is one thing that is wrong with a document.
+type Fault struct {
+	Field string `json:"field"`
+	What  string `json:"what"`
+}
+
+// From returns the problem that tells of e, with the status of its reason.
+func From(e *sqerror.Error) Problem {
+	p := Problem{
+		Type:       typeNone,
+		Status:     e.Reason.Status(),
+		Reason:     e.Reason,
+		Run:        e.Run.String(),
+		Step:       e.Step,
+		Peer:       e.Peer,
+		RetryAfter: e.RetryAfter,
+	}
+	if e.Reason != sqreason.NoReason {
+		p.Type = typePrefix + string(e.Reason)
+	}
+	if e.Err != nil {
+		p.Detail = e.Err.Error()
+	}
+	return p
+}
+
+// Write answers a request with the problem that tells of e.
+func Write(w http.ResponseWriter, e *sqerror.Error) {
+	From(e).Write(w)
+}
+
+// Write answers a request with p. A type or title that is missing is filled
+// in from the status.
+func (p Problem) Write(w http.ResponseWriter) {
+	p.Type = cmp.Or(p.Type, typeNone)
+	p.Title = cmp.Or(p.Title, title(p.Status))
+	body, err := json.Marshal(p)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	h := w.Header()
+	h.Set("Content-Type", ContentType)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set("X-Content-Type-Options", "nosniff")
+	h.Set(RunHeader, p.Run)
+	if p.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(p.Status)
+	_, _ = w.Write(body)
+}
+
+func title(status int) string {
+	if status == statusClientClosed {
+		return titleClientClosed
+	}
+	return http.StatusText(status)
+}
