--- a/cmd/sequoiatack/main.go
+++ b/cmd/sequoiatack/main.go
@@ -1,4 +1,52 @@
 // Command sequoiatack is the overload control daemon and its operators' tool.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+// subcommands lists what the program can do, each from a file of its own.
+var subcommands = []func() *cobra.Command{}
+
+func main() {
+	os.Exit(run())
+}
+
+// exitCoder is an error that sets the program's exit status.
+type exitCoder interface {
+	error
+	ExitCode() int
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	err := newRoot().ExecuteContext(ctx)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "sequoiatack:", err)
+	if e, ok := err.(exitCoder); ok {
+		return e.ExitCode()
+	}
+	return 1
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "sequoiatack",
+		Short:         "Overload control for service call graphs",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	for _, f := range subcommands {
+		root.AddCommand(f())
+	}
+	return root
+}
