Meet the platform through etcd v3's API, with a stand-in that has faults

Client implements Store over grpc-go: reads and lease calls try each address within one bounded time; a write is sent once, on a connection that is up, and is ErrUncertain once its answer is lost, ErrUnavailable only when it was never sent. Ruled out: repeating a lost compare-and-swap in the client, since only the caller knows whether its value is already there.

sqstore holds versions, leases, watches and bounded history in memory. Down closes its port, so that refused connections are told from lost answers. A delayed write takes effect after its caller gave up, which is the case that reading back once does not resolve. Store.Platform serves tests in one process without a network, fit for synctest; both are held to one contract in TestStore, with lost, late and overtaken writes, compaction, restored older state and an outage.

ErrLeaseEnded is added to platform.go.

--- a/cmd/sequoia-standin/main.go
+++ b/cmd/sequoia-standin/main.go
@@ -13,7 +13,9 @@
 )
 
 // subcommands lists what the program can do, each from a file of its own.
-var subcommands = []func() *cobra.Command{}
+var subcommands = []func() *cobra.Command{
+	newPlatform,
+}
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
--- /dev/null
+++ b/internal/edge/sqplatform/lease.go
@@ -0,0 +1,44 @@
+package sqplatform
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+
+	wire "github.com/sequoiatack/sequoiatack/internal/wire/sqetcdwire"
+)
+
+// Grant makes a lease that ends ttl after its last renewal; ttl is rounded up
+// to whole seconds. A lease whose answer is lost ends by itself.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	r := &wire.LeaseGrantRequest{TTL: int64((ttl + time.Second - 1) / time.Second)}
+	var lease LeaseID
+	err := c.read(ctx, CallGrant, func(ctx context.Context, conn grpc.ClientConnInterface) error {
+		answer, err := wire.NewLeaseClient(conn).LeaseGrant(ctx, r)
+		lease = LeaseID(answer.GetID())
+		return err
+	})
+	return lease, err
+}
+
+// Renew renews a lease; it is ErrLeaseEnded if the lease has ended.
+func (c *Client) Renew(ctx context.Context, lease LeaseID) error {
+	return c.read(ctx, CallRenew, func(ctx context.Context, conn grpc.ClientConnInterface) error {
+		stream, err := wire.NewLeaseClient(conn).LeaseKeepAlive(ctx)
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(&wire.LeaseKeepAliveRequest{ID: int64(lease)}); err != nil {
+			return err
+		}
+		answer, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if answer.GetTTL() <= 0 {
+			return ErrLeaseEnded
+		}
+		return nil
+	})
+}
--- a/internal/edge/sqplatform/platform.go
+++ b/internal/edge/sqplatform/platform.go
@@ -40,6 +40,8 @@
 	ErrUnavailable = errors.New("platform unavailable")
 	// ErrCompacted says that a watch's start is no longer held; read anew.
 	ErrCompacted = errors.New("version was compacted")
+	// ErrLeaseEnded says that a lease does not exist any more.
+	ErrLeaseEnded = errors.New("lease has ended")
 )
 
 // Store is the platform's service as a daemon uses it.
@@ -57,7 +59,7 @@
 	Delete(ctx context.Context, key string, expected Version) error
 	// Grant makes a lease that ends ttl after its last renewal.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
-	// Renew renews a lease; it fails if the lease has ended.
+	// Renew renews a lease; it is ErrLeaseEnded if the lease has ended.
 	Renew(ctx context.Context, lease LeaseID) error
 	// Watch sends the changes of the keys that begin with prefix, from the
 	// version after `after` on, to f in order. It returns when ctx ends, the
--- /dev/null
+++ b/internal/standin/sqstore/platform.go
@@ -0,0 +1,169 @@
+package sqstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+)
+
+// Platform returns the store as a daemon uses it, without a network between.
+func (s *Store) Platform() sqplatform.Store {
+	return platform{s}
+}
+
+type platform struct {
+	store *Store
+}
+
+func (p platform) Get(ctx context.Context, key string) (sqplatform.Record, error) {
+	records, _, err := p.read(ctx, sqplatform.CallGet, span{start: key})
+	if err != nil || len(records) == 0 {
+		return sqplatform.Record{Key: key}, err
+	}
+	return records[0], nil
+}
+
+func (p platform) List(ctx context.Context, prefix string) ([]sqplatform.Record, sqplatform.Version, error) {
+	return p.read(ctx, sqplatform.CallList, prefixSpan(prefix))
+}
+
+func (p platform) read(ctx context.Context, kind sqplatform.CallKind, in span) ([]sqplatform.Record, sqplatform.Version, error) {
+	if err := p.store.begin(ctx, kind); err != nil {
+		return nil, 0, unavailable(err)
+	}
+	results, revision, err := p.store.apply([]operation{{read: &in}})
+	if err != nil {
+		return nil, 0, err
+	}
+	records := make([]sqplatform.Record, len(results[0].records))
+	for i, r := range results[0].records {
+		records[i] = r.platform()
+	}
+	return records, sqplatform.Version(revision), nil
+}
+
+func (p platform) Swap(ctx context.Context, key string, expected sqplatform.Version, value []byte, lease sqplatform.LeaseID) (sqplatform.Version, error) {
+	put := &record{key: key, value: value, lease: int64(lease)}
+	return p.swap(ctx, sqplatform.CallSwap, key, expected, operation{put: put})
+}
+
+func (p platform) Delete(ctx context.Context, key string, expected sqplatform.Version) error {
+	_, err := p.swap(ctx, sqplatform.CallDelete, key, expected, operation{remove: &span{start: key}})
+	return err
+}
+
+func (p platform) swap(ctx context.Context, kind sqplatform.CallKind, key string, expected sqplatform.Version, op operation) (sqplatform.Version, error) {
+	type outcome struct {
+		version sqplatform.Version
+		err     error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		var o outcome
+		o.err = p.store.write(ctx, kind, func() error {
+			conditions := map[string]condition{key: modifiedAt(int64(expected))}
+			holds, _, revision, err := p.store.compareAndApply(conditions, []operation{op}, nil)
+			if err == nil && !holds {
+				err = sqplatform.ErrConflict
+			}
+			o.version = sqplatform.Version(revision)
+			return err
+		})
+		done <- o
+	}()
+	select {
+	case <-ctx.Done():
+		return 0, errors.Wrap(sqplatform.ErrUncertain, ctx.Err().Error())
+	case o := <-done:
+		if o.err != nil {
+			return 0, writeError(o.err)
+		}
+		return o.version, nil
+	}
+}
+
+func (p platform) Grant(ctx context.Context, ttl time.Duration) (sqplatform.LeaseID, error) {
+	if err := p.store.begin(ctx, sqplatform.CallGrant); err != nil {
+		return 0, unavailable(err)
+	}
+	return sqplatform.LeaseID(p.store.grant(0, ttl)), nil
+}
+
+func (p platform) Renew(ctx context.Context, lease sqplatform.LeaseID) error {
+	if err := p.store.begin(ctx, sqplatform.CallRenew); err != nil {
+		return unavailable(err)
+	}
+	if p.store.renew(int64(lease)) <= 0 {
+		return sqplatform.ErrLeaseEnded
+	}
+	return nil
+}
+
+func (p platform) Watch(ctx context.Context, prefix string, after sqplatform.Version, f func(sqplatform.Event) error) error {
+	cut, from, done := p.store.beginWatch(int64(after) + 1)
+	defer done()
+	if err := p.store.begin(ctx, sqplatform.CallWatch); err != nil {
+		return unavailable(err)
+	}
+	for {
+		changes, next, err := p.store.wait(ctx, prefixSpan(prefix), from, cut)
+		if err != nil {
+			return watchError(err)
+		}
+		for _, c := range changes {
+			if err := f(c.event()); err != nil {
+				return err
+			}
+		}
+		from = next
+	}
+}
+
+func (c change) event() sqplatform.Event {
+	return sqplatform.Event{Record: c.record.platform(), Deleted: c.deleted}
+}
+
+func modifiedAt(revision int64) condition {
+	return func(r record) bool { return r.modified == revision }
+}
+
+// prefixSpan returns the span of the keys that begin with prefix.
+func prefixSpan(prefix string) span {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return span{start: prefix, end: string(end[:i+1])}
+		}
+	}
+	return span{start: prefix, end: "\x00"}
+}
+
+func unavailable(err error) error {
+	return errors.Wrap(sqplatform.ErrUnavailable, err.Error())
+}
+
+func writeError(err error) error {
+	switch {
+	case errors.Is(err, errDown):
+		return unavailable(err)
+	case errors.Is(err, errAnswerLost):
+		return errors.Wrap(sqplatform.ErrUncertain, err.Error())
+	case errors.Is(err, errLeaseUnknown):
+		return sqplatform.ErrLeaseEnded
+	}
+	return err
+}
+
+func watchError(err error) error {
+	switch {
+	case errors.Is(err, errCompacted):
+		return sqplatform.ErrCompacted
+	case errors.Is(err, errCut):
+		return unavailable(err)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/standin/sqstore/service.go
@@ -0,0 +1,167 @@
+package sqstore
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	wire "github.com/sequoiatack/sequoiatack/internal/wire/sqetcdwire"
+)
+
+// service speaks the subset of etcd v3's API for a Store.
+type service struct {
+	wire.UnimplementedKVServer
+	wire.UnimplementedLeaseServer
+	wire.UnimplementedWatchServer
+
+	store *Store
+}
+
+// Range reads keys at the newest revision.
+func (s *service) Range(ctx context.Context, r *wire.RangeRequest) (*wire.RangeResponse, error) {
+	kind := sqplatform.CallGet
+	if len(r.GetRangeEnd()) > 0 {
+		kind = sqplatform.CallList
+	}
+	if r.GetRevision() != 0 {
+		return nil, status.Error(codes.Unimplemented, "earlier states are not held")
+	}
+	if err := s.store.begin(ctx, kind); err != nil {
+		return nil, statusOf(err)
+	}
+	results, revision, err := s.store.apply([]operation{readOf(r)})
+	if err != nil {
+		return nil, statusOf(err)
+	}
+	return rangeResponse(r, results[0], revision), nil
+}
+
+// Put writes one key.
+func (s *service) Put(ctx context.Context, r *wire.PutRequest) (*wire.PutResponse, error) {
+	var revision int64
+	err := s.store.write(ctx, sqplatform.CallSwap, func() (err error) {
+		_, revision, err = s.store.apply([]operation{putOf(r)})
+		return err
+	})
+	if err != nil {
+		return nil, statusOf(err)
+	}
+	return &wire.PutResponse{Header: header(revision)}, nil
+}
+
+// DeleteRange removes keys.
+func (s *service) DeleteRange(ctx context.Context, r *wire.DeleteRangeRequest) (*wire.DeleteRangeResponse, error) {
+	var revision int64
+	var results []result
+	err := s.store.write(ctx, sqplatform.CallDelete, func() (err error) {
+		results, revision, err = s.store.apply([]operation{removeOf(r)})
+		return err
+	})
+	if err != nil {
+		return nil, statusOf(err)
+	}
+	return &wire.DeleteRangeResponse{Header: header(revision), Deleted: int64(len(results[0].records))}, nil
+}
+
+// Txn runs one of two lists of operations as a whole.
+func (s *service) Txn(ctx context.Context, r *wire.TxnRequest) (*wire.TxnResponse, error) {
+	conditions := make(map[string]condition)
+	for _, c := range r.GetCompare() {
+		if _, ok := conditions[string(c.GetKey())]; ok || len(c.GetRangeEnd()) > 0 {
+			return nil, status.Error(codes.Unimplemented, "one compare for each single key")
+		}
+		conditions[string(c.GetKey())] = conditionOf(c)
+	}
+	success, err := operationsOf(r.GetSuccess())
+	if err != nil {
+		return nil, err
+	}
+	failure, err := operationsOf(r.GetFailure())
+	if err != nil {
+		return nil, err
+	}
+	answer := &wire.TxnResponse{}
+	err = s.store.write(ctx, kindOf(r), func() error {
+		holds, results, revision, err := s.store.compareAndApply(conditions, success, failure)
+		answer.Header, answer.Succeeded = header(revision), holds
+		ran := r.GetSuccess()
+		if !holds {
+			ran = r.GetFailure()
+		}
+		for i := range results {
+			answer.Responses = append(answer.Responses, responseOp(ran[i], results[i], revision))
+		}
+		return err
+	})
+	if err != nil {
+		return nil, statusOf(err)
+	}
+	return answer, nil
+}
+
+// LeaseGrant makes a lease.
+func (s *service) LeaseGrant(ctx context.Context, r *wire.LeaseGrantRequest) (*wire.LeaseGrantResponse, error) {
+	if r.GetTTL() <= 0 {
+		return nil, status.Error(codes.InvalidArgument, "TTL must be positive")
+	}
+	if err := s.store.begin(ctx, sqplatform.CallGrant); err != nil {
+		return nil, statusOf(err)
+	}
+	id := s.store.grant(r.GetID(), time.Duration(r.GetTTL())*time.Second)
+	return &wire.LeaseGrantResponse{Header: header(0), ID: id, TTL: r.GetTTL()}, nil
+}
+
+// LeaseRevoke ends a lease and its keys.
+func (s *service) LeaseRevoke(ctx context.Context, r *wire.LeaseRevokeRequest) (*wire.LeaseRevokeResponse, error) {
+	err := s.store.write(ctx, sqplatform.CallDelete, func() error {
+		if !s.store.revoke(r.GetID()) {
+			return errLeaseUnknown
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, statusOf(err)
+	}
+	return &wire.LeaseRevokeResponse{Header: header(0)}, nil
+}
+
+// LeaseKeepAlive renews a lease for each message.
+func (s *service) LeaseKeepAlive(stream grpc.BidiStreamingServer[wire.LeaseKeepAliveRequest, wire.LeaseKeepAliveResponse]) error {
+	for {
+		r, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := s.store.begin(stream.Context(), sqplatform.CallRenew); err != nil {
+			return statusOf(err)
+		}
+		ttl := int64(s.store.renew(r.GetID()) / time.Second)
+		answer := &wire.LeaseKeepAliveResponse{Header: header(0), ID: r.GetID(), TTL: ttl}
+		if err := stream.Send(answer); err != nil {
+			return err
+		}
+	}
+}
+
+func header(revision int64) *wire.ResponseHeader {
+	return &wire.ResponseHeader{ClusterId: 1, MemberId: 1, Revision: revision, RaftTerm: 1}
+}
+
+func statusOf(err error) error {
+	switch {
+	case errors.Is(err, errDown), errors.Is(err, errAnswerLost), errors.Is(err, errCut):
+		return status.Error(codes.Unavailable, err.Error())
+	case errors.Is(err, errLeaseUnknown):
+		return status.Error(codes.NotFound, "etcdserver: requested lease not found")
+	}
+	return status.FromContextError(err).Err()
+}
