Accept changes of the lists by one compare-and-swap, and follow them

A change writes its bodies under their digests, then swaps the head; the head remembers 64 changes, so that a lost answer is resolved from a later head as well.

Paths with dot segments lie below no prefix: a target that cleans them would serve what the plan does not name. sqmetric gets two lists metrics.

--- a/internal/base/sqmetric/metric.go
+++ b/internal/base/sqmetric/metric.go
@@ -26,6 +26,10 @@
 	// ControlBytes counts bytes between daemons that are no caller's, by
 	// direction (sent, received) and kind.
 	ControlBytes *prometheus.CounterVec
+	// ListsIgnored counts lists that were not applied, by reason.
+	ListsIgnored *prometheus.CounterVec
+	// ListsRevision is the revision of the lists in force.
+	ListsRevision prometheus.Gauge
 	// CallSeconds is the time of a call at the entry, in seconds.
 	CallSeconds prometheus.Histogram
 	// QueueSeconds is the time that a call waits at the gate, in seconds.
@@ -41,11 +45,14 @@
 		Calls:         counterVec("calls_total", "Calls by outcome.", "run"),
 		PlatformCalls: counterVec("platform_calls_total", "Calls to the platform by kind.", "kind"),
 		ControlBytes:  counterVec("control_bytes_total", "Bytes between daemons for control.", "direction", "kind"),
+		ListsIgnored:  counterVec("lists_ignored_total", "Lists that were not applied, by reason.", "reason"),
+		ListsRevision: gauge("lists_revision", "Revision of the lists in force."),
 		CallSeconds:   histogram("call_seconds", "Time of a call at the entry."),
 		QueueSeconds:  histogram("queue_seconds", "Time that a call waits at the gate."),
 	}
 	s.Registry.MustRegister(
-		s.Refusals, s.Retries, s.Calls, s.PlatformCalls, s.ControlBytes, s.CallSeconds, s.QueueSeconds,
+		s.Refusals, s.Retries, s.Calls, s.PlatformCalls, s.ControlBytes, s.ListsIgnored, s.ListsRevision,
+		s.CallSeconds, s.QueueSeconds,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	for _, r := range sqreason.Refusals() {
@@ -61,6 +68,10 @@
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
 
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+}
+
 func histogram(name, help string) prometheus.Histogram {
 	return prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: namespace, Name: name, Help: help,
--- /dev/null
+++ b/internal/state/sqlists/head.go
@@ -0,0 +1,160 @@
+package sqlists
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+)
+
+const (
+	// headKey is the platform's key of the head record; bodyPrefix and a
+	// body's digest are the key of a body.
+	headKey    = "sequoiatack/lists/head"
+	bodyPrefix = "sequoiatack/lists/body/"
+
+	// recentChanges is the number of changes that a head remembers.
+	recentChanges = 64
+)
+
+// Kind names one of the two lists.
+type Kind string
+
+// The two lists.
+const (
+	KindWorkspaces Kind = "workspaces"
+	KindPlans      Kind = "plans"
+)
+
+// ChangeID names one change of the lists, so that its outcome can be read
+// back when the platform's answer was lost.
+type ChangeID string
+
+// NewChangeID returns a random id.
+func NewChangeID() ChangeID {
+	return ChangeID(rand.Text())
+}
+
+// Digest is the SHA-256 of a list's encoded form, in hex.
+type Digest string
+
+func digestOf(body []byte) Digest {
+	sum := sha256.Sum256(body)
+	return Digest(hex.EncodeToString(sum[:]))
+}
+
+func (d Digest) key() string {
+	return bodyPrefix + string(d)
+}
+
+// Change is one accepted change.
+type Change struct {
+	Revision sqid.Revision `json:"revision"`
+	ID       ChangeID      `json:"id"`
+}
+
+// Head is the record that says which lists are accepted. It is swapped after
+// the bodies that it names were written.
+type Head struct {
+	Revision   sqid.Revision `json:"revision"`
+	Change     ChangeID      `json:"change"`
+	Workspaces Digest        `json:"workspaces"`
+	Plans      Digest        `json:"plans"`
+	// Recent has the last changes, the newest last.
+	Recent []Change `json:"recent"`
+}
+
+// sameBodies reports whether h names the same bodies as other.
+func (h Head) sameBodies(other Head) bool {
+	return h.Workspaces == other.Workspaces && h.Plans == other.Plans
+}
+
+// find returns the change that a head remembers at a revision.
+func (h Head) find(r sqid.Revision) (ChangeID, bool) {
+	for _, c := range h.Recent {
+		if c.Revision == r {
+			return c.ID, true
+		}
+	}
+	return "", false
+}
+
+func parseHead(value []byte) (Head, error) {
+	var h Head
+	if len(value) == 0 {
+		return h, nil
+	}
+	if err := json.Unmarshal(value, &h); err != nil {
+		return Head{}, errors.Wrap(err, "head record")
+	}
+	return h, nil
+}
+
+func (h Head) encode() []byte {
+	// A head has no value that JSON can't hold.
+	value, _ := json.Marshal(h)
+	return value
+}
+
+// Accepted are lists with the head that names them and their encoded form.
+type Accepted struct {
+	Head  Head
+	Lists Lists
+	// Workspaces and Plans are the encoded lists.
+	Workspaces, Plans []byte
+}
+
+// Body returns the encoded form of one list.
+func (a *Accepted) Body(k Kind) []byte {
+	if k == KindPlans {
+		return a.Plans
+	}
+	return a.Workspaces
+}
+
+// parseAccepted checks bodies against their head and parses them.
+func parseAccepted(h Head, workspaces, plans []byte) (*Accepted, error) {
+	if digestOf(workspaces) != h.Workspaces || digestOf(plans) != h.Plans {
+		return nil, errors.Errorf("bodies of revision %d don't have the head's digests", h.Revision)
+	}
+	l, err := Parse(workspaces, plans)
+	if err != nil {
+		return nil, errors.Wrapf(err, "revision %d", h.Revision)
+	}
+	l.Revision = h.Revision
+	return &Accepted{Head: h, Lists: l, Workspaces: workspaces, Plans: plans}, nil
+}
+
+// encodeLists returns l as an accepted change after the one of base.
+func encodeLists(l Lists, base Head, id ChangeID) (*Accepted, error) {
+	workspaces, err := json.Marshal(orEmpty(l.Workspaces))
+	if err != nil {
+		return nil, errors.Wrap(err, "encode workspaces")
+	}
+	plans, err := json.Marshal(orEmpty(l.Plans))
+	if err != nil {
+		return nil, errors.Wrap(err, "encode plans")
+	}
+	recent := append(base.Recent[max(0, len(base.Recent)-recentChanges+1):len(base.Recent):len(base.Recent)],
+		Change{Revision: l.Revision, ID: id})
+	h := Head{Revision: l.Revision, Change: id, Workspaces: digestOf(workspaces), Plans: digestOf(plans), Recent: recent}
+	return &Accepted{Head: h, Lists: l, Workspaces: workspaces, Plans: plans}, nil
+}
+
+func orEmpty[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
+
+// emptyAccepted is what holds before any change: empty lists at revision 0.
+func emptyAccepted() *Accepted {
+	a, _ := encodeLists(Lists{}, Head{}, "")
+	a.Head.Recent = nil
+	return a
+}
--- a/internal/state/sqlists/index.go
+++ b/internal/state/sqlists/index.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -126,13 +127,32 @@
 	return len(u.Paths) == 0 || slices.ContainsFunc(u.Paths, func(p string) bool { return below(path, p) })
 }
 
-// below reports whether path is prefix or lies below it.
+// below reports whether path is prefix or lies below it. A path with a dot
+// segment lies below none, since a target may take it to be elsewhere.
 func below(path, prefix string) bool {
 	path, _, _ = strings.Cut(path, "?")
+	if hasDotSegment(path) {
+		return false
+	}
 	rest, ok := strings.CutPrefix(path, strings.TrimSuffix(prefix, "/"))
 	return ok && (rest == "" || rest[0] == '/')
 }
 
+// hasDotSegment reports whether a segment of a path is "." or "..", escaped or
+// not, or whether the path can't be unescaped.
+func hasDotSegment(path string) bool {
+	plain, err := url.PathUnescape(path)
+	if err != nil {
+		return true
+	}
+	for segment := range strings.FieldsFuncSeq(plain, func(r rune) bool { return r == '/' || r == '\\' }) {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
 func (u *Use) route(p *Plan, method string) Route {
 	r := Route{
 		Plan:          p,
