--- a/internal/base/sqerror/error.go
+++ b/internal/base/sqerror/error.go
@@ -5,6 +5,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -41,6 +42,8 @@
 	Reason sqreason.Refusal
 	// Run says whether the request has run.
 	Run squnit.RunState
+	// RetryAfter is when a refused request may be sent again, 0 if unknown.
+	RetryAfter time.Duration
 	// Err is the cause; it may be nil.
 	Err error
 }
--- a/internal/base/sqreason/reason.go
+++ b/internal/base/sqreason/reason.go
@@ -24,6 +24,7 @@
 	ShedDeadline       Refusal = "shed-deadline"
 	ShedDeeper         Refusal = "shed-deeper"
 	ShedByTarget       Refusal = "shed-by-target"
+	TargetUnknown      Refusal = "target-unknown"
 	TargetNone         Refusal = "target-none"
 	TargetDraining     Refusal = "target-draining"
 	TargetUnreachable  Refusal = "target-unreachable"
@@ -63,6 +64,7 @@
 	ShedDeadline:      http.StatusServiceUnavailable,
 	ShedDeeper:        http.StatusServiceUnavailable,
 	ShedByTarget:      http.StatusServiceUnavailable,
+	TargetUnknown:     http.StatusNotFound,
 	TargetNone:        http.StatusServiceUnavailable,
 	TargetDraining:    http.StatusServiceUnavailable,
 	TargetUnreachable: http.StatusServiceUnavailable,
--- /dev/null
+++ b/internal/edge/sqentry/answer.go
@@ -0,0 +1,96 @@
+package sqentry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
+	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
+)
+
+// answer is the sink of one attempt's frames: it writes a target's answer to
+// the caller, and keeps a refusal for the retry decision.
+type answer struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	// prepare is called once before the head is written.
+	prepare func(h http.Header, run squnit.RunState)
+
+	begun   bool
+	last    bool
+	status  int
+	refusal *sqerror.Error
+	load    *sqcallwire.Load
+	credit  squnit.Credit
+	// writeErr is the caller's connection's.
+	writeErr error
+}
+
+// Send takes the next frame.
+func (a *answer) Send(frame *sqcallwire.AnswerFrame) error {
+	if a.last {
+		return errors.New("frame after the last")
+	}
+	if frame.GetLast() {
+		a.last = true
+		a.load = frame.GetLoad()
+		a.credit = squnit.Credit(frame.GetCreditLeft())
+	}
+	head := frame.GetHead()
+	switch {
+	case head.GetRefusal() != nil:
+		a.refusal = refusalOf(head)
+		return nil
+	case head != nil:
+		a.begin(head)
+	case !a.begun:
+		return errors.New("first frame has no head")
+	}
+	return a.write(frame)
+}
+
+func (a *answer) begin(head *sqcallwire.AnswerHead) {
+	a.begun = true
+	a.status = int(head.GetStatus())
+	h := a.w.Header()
+	sqheader.Set(h, head.GetHeaders())
+	a.prepare(h, squnit.RunState(head.GetRun()))
+	if head.GetContentLength() >= 0 {
+		h.Set("Content-Length", formatLength(head.GetContentLength()))
+	}
+	a.w.WriteHeader(a.status)
+}
+
+func (a *answer) write(frame *sqcallwire.AnswerFrame) error {
+	if len(frame.GetBody()) > 0 {
+		if _, err := a.w.Write(frame.GetBody()); err != nil {
+			a.writeErr = err
+			return err
+		}
+	}
+	if !a.last {
+		a.writeErr = a.control.Flush()
+	}
+	return a.writeErr
+}
+
+func refusalOf(head *sqcallwire.AnswerHead) *sqerror.Error {
+	r := head.GetRefusal()
+	e := &sqerror.Error{
+		Step:       sqerror.Step(r.GetStep()),
+		Peer:       sqid.DaemonID(r.GetPeer()),
+		Reason:     sqreason.Refusal(r.GetReason()),
+		Run:        squnit.RunState(head.GetRun()),
+		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
+	}
+	if r.GetDetail() != "" {
+		e.Err = errors.New(r.GetDetail())
+	}
+	return e
+}
--- /dev/null
+++ b/internal/edge/sqentry/attempt.go
@@ -0,0 +1,157 @@
+package sqentry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
+	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
+)
+
+// attempt sends the request to one target. It returns nil once an answer has
+// been passed on whole. An answer that is cut after it was begun cuts the
+// caller's connection, by panicking as net/http asks.
+func (q *request) attempt(w http.ResponseWriter, t sqtarget.Row) *sqerror.Error {
+	a := &answer{w: w, control: http.NewResponseController(w), prepare: q.answerHeaders}
+	start := time.Now()
+	err := q.exchange(t, a)
+	refusal := q.outcome(t, a, err)
+	q.entry.Router.Ended(t.ID, time.Since(start), refusal, a.load)
+	if a.last {
+		q.credit = a.credit + q.held()
+	} else {
+		// The answer is lost, and the credit granted with the call as well.
+		q.credit = q.held()
+	}
+	switch {
+	case refusal == nil:
+		q.entry.Metrics.Calls.WithLabelValues(squnit.RunDone.String()).Inc()
+	case a.begun:
+		q.entry.Metrics.Calls.WithLabelValues(squnit.RunUnknown.String()).Inc()
+		panic(http.ErrAbortHandler)
+	}
+	return refusal
+}
+
+// held is the part of the credit that is not granted with a call, so that a
+// lost answer can be followed by one more attempt.
+func (q *request) held() squnit.Credit { return min(q.credit, 1) }
+
+func (q *request) answerHeaders(h http.Header, run squnit.RunState) {
+	h.Set(sqheader.Run, run.String())
+}
+
+func (q *request) exchange(t sqtarget.Row, a *answer) error {
+	head := q.head(t)
+	if t.ID.Daemon == q.entry.Daemon {
+		return q.entry.Gate.Serve(q.ctx, head, q.body.reader(), a)
+	}
+	return q.remote(t, head, a)
+}
+
+func (q *request) head(t sqtarget.Row) *sqcallwire.CallHead {
+	return &sqcallwire.CallHead{
+		Service: string(q.service), Target: string(t.ID.Target), Method: q.method, Path: q.path,
+		Headers: q.headers, Workspace: string(q.workspace),
+		Importance: uint32(q.importance), Weight: float64(q.weight),
+		TimeLeftUs: time.Until(q.deadline).Microseconds(),
+		Credit:     int32(q.credit - q.held()), Depth: uint32(q.depth), NonIdempotent: q.nonIdempotent,
+		Root: q.root, ContentLength: q.contentLength, Entry: string(q.entry.Daemon), Operation: q.operation,
+	}
+}
+
+// errNotSent says that no byte of a call has left the daemon.
+var errNotSent = errors.New("call was not sent")
+
+// remote has the call served by the target's own daemon.
+func (q *request) remote(t sqtarget.Row, head *sqcallwire.CallHead, a *answer) error {
+	conn, err := q.entry.Conns.Conn(t.PeerAddress)
+	if err != nil {
+		return errors.Wrap(errNotSent, err.Error())
+	}
+	ctx, cancel := context.WithCancel(q.ctx)
+	defer cancel()
+	stream, err := sqcallwire.NewGateClient(conn).Call(ctx)
+	if err != nil {
+		return errors.Wrap(errNotSent, err.Error())
+	}
+	first := &sqcallwire.CallFrame{Head: head, Body: q.body.first, Last: q.body.whole}
+	if err := stream.Send(first); err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	if !q.body.whole {
+		defer q.upload(stream, cancel, a.control)()
+	}
+	return receive(stream, a)
+}
+
+// upload streams the rest of the body in the background. The function that it
+// returns ends that, also in the middle of a read.
+func (q *request) upload(stream sqcallwire.Gate_CallClient, cancel func(), c *http.ResponseController) func() {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := q.body.frames(stream.Send); err != nil && !errors.Is(err, io.EOF) {
+			cancel()
+		}
+	}()
+	return func() {
+		cancel()
+		select {
+		case <-done:
+		default:
+			_ = c.SetReadDeadline(time.Now())
+			<-done
+		}
+	}
+}
+
+func receive(stream sqcallwire.Gate_CallClient, out sqgate.Sink) error {
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if err := out.Send(frame); err != nil {
+			return err
+		}
+		if frame.GetLast() {
+			return nil
+		}
+	}
+}
+
+// outcome says what an attempt's end means; nil is a whole answer.
+func (q *request) outcome(t sqtarget.Row, a *answer, err error) *sqerror.Error {
+	if a.refusal != nil {
+		return a.refusal
+	}
+	if err == nil && a.last {
+		return nil
+	}
+	e := sqerror.Uncertain(sqerror.StepPeer, sqreason.PeerBroken, err)
+	e.Peer = t.ID.Daemon
+	switch {
+	case errors.Is(err, errNotSent) && q.ctx.Err() == nil:
+		e.Reason, e.Run = sqreason.PeerUnreachable, squnit.RunNot
+	case errors.Is(q.ctx.Err(), context.Canceled) || a.writeErr != nil:
+		e.Reason = sqreason.CallerGone
+	case q.ctx.Err() != nil || status.Code(err) == codes.DeadlineExceeded:
+		e.Reason = sqreason.DeadlineExceeded
+	}
+	if errors.Is(err, errNotSent) {
+		e.Run = squnit.RunNot
+	}
+	return e
+}
--- /dev/null
+++ b/internal/edge/sqgate/gate.go
@@ -0,0 +1,94 @@
+// Package sqgate is the only way to a daemon's local targets. What it says of
+// them is exact: whether a call was handed over, how many run, and that a
+// draining target gets nothing more.
+package sqgate
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
+	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
+)
+
+// Sink takes the frames of an answer in order. Send may keep nothing of the
+// frame after it returns.
+type Sink interface {
+	Send(frame *sqcallwire.AnswerFrame) error
+}
+
+// Gate hands calls to the local targets.
+type Gate struct {
+	// Daemon is the gate's own daemon.
+	Daemon sqid.DaemonID
+	// Targets are the local targets.
+	Targets *Targets
+	// Calls is the table of calls that targets run.
+	Calls   *sqcall.Table
+	Metrics *sqmetric.Set
+	Logger  logr.Logger
+	// Transport reaches the targets.
+	Transport http.RoundTripper
+}
+
+// Serve runs one call and sends its answer to out. A refusal is an answer
+// too; an error says that the answer was cut.
+func (g *Gate) Serve(ctx context.Context, head *sqcallwire.CallHead, body io.Reader, out Sink) error {
+	deadline := time.Now().Add(time.Duration(head.GetTimeLeftUs()) * time.Microsecond)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+
+	ticket, refusal := g.Targets.enter(ctx, head, deadline)
+	if refusal != nil {
+		return g.refuse(out, refusal, squnit.Credit(head.GetCredit()), ticket.load())
+	}
+	g.Metrics.QueueSeconds.Observe(ticket.waited.Seconds())
+	id := g.Calls.Open(sqcall.Row{
+		Root:       head.GetRoot(),
+		Workspace:  sqid.WorkspaceID(head.GetWorkspace()),
+		Service:    sqid.ServiceID(head.GetService()),
+		Target:     ticket.target,
+		Importance: squnit.Importance(head.GetImportance()),
+		Weight:     squnit.Weight(head.GetWeight()),
+		Depth:      squnit.Depth(head.GetDepth()),
+		Deadline:   deadline,
+		Credit:     squnit.Credit(head.GetCredit()),
+		Context:    ctx,
+	})
+	x := exchange{gate: g, head: head, call: id, ticket: ticket, out: out}
+	return x.run(ctx, body)
+}
+
+// refuse answers in place of the target.
+func (g *Gate) refuse(out Sink, e *sqerror.Error, credit squnit.Credit, load *sqcallwire.Load) error {
+	e.Peer = g.Daemon
+	frame := &sqcallwire.AnswerFrame{
+		Head:       &sqcallwire.AnswerHead{Status: uint32(e.Reason.Status()), Run: uint32(e.Run), Refusal: refusalOf(e)},
+		Last:       true,
+		Load:       load,
+		CreditLeft: int32(credit),
+	}
+	return out.Send(frame)
+}
+
+func refusalOf(e *sqerror.Error) *sqcallwire.Refusal {
+	r := &sqcallwire.Refusal{Reason: string(e.Reason), Step: string(e.Step), Peer: string(e.Peer)}
+	if e.Err != nil {
+		r.Detail = e.Err.Error()
+	}
+	r.RetryAfterMs = e.RetryAfter.Milliseconds()
+	return r
+}
+
+func refuse(reason sqreason.Refusal, err error) *sqerror.Error {
+	return sqerror.Refuse(sqerror.StepGate, reason, err)
+}
--- /dev/null
+++ b/internal/edge/sqgate/targets.go
@@ -0,0 +1,178 @@
+package sqgate
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqtable"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
+)
+
+// RenewWithin is the time within which a target must announce itself again.
+const RenewWithin = 10 * time.Second
+
+// expireAfter is the time after which a target that was not announced again
+// gets nothing more. It leaves room for two lost renewals.
+const expireAfter = 3 * RenewWithin
+
+// Local is one target on the daemon's own host.
+type Local struct {
+	ID       sqid.TargetID
+	Service  sqid.ServiceID
+	Address  string
+	Slots    squnit.Slots
+	LoadPath string
+	Draining bool
+	// Announced is the time of the last announcement.
+	Announced time.Time
+
+	door *door
+}
+
+// Listener hears of changes of the local targets, to tell the other daemons.
+type Listener interface {
+	// TargetChanged is called when a target was announced anew, has other
+	// fields or drains.
+	TargetChanged(t Local)
+	// TargetRemoved is called when a target has gone or was not renewed.
+	TargetRemoved(id sqid.TargetID)
+}
+
+// Targets is the table of the local targets, and a system that removes those
+// that are no longer announced.
+type Targets struct {
+	// Listener may be nil.
+	Listener Listener
+
+	rows    sqtable.Table[sqid.TargetID, Local]
+	stopped chan struct{}
+}
+
+// NewTargets returns an empty table.
+func NewTargets() *Targets {
+	return &Targets{stopped: make(chan struct{})}
+}
+
+// Announce adds or renews a target. A target that drains stays so until it is
+// removed; one that changes its service or address begins cold.
+func (t *Targets) Announce(l Local, now time.Time) {
+	changed := false
+	t.rows.Update(l.ID, func(row Local, ok bool) (Local, bool) {
+		same := ok && row.Service == l.Service && row.Address == l.Address
+		if same {
+			l.Draining, l.door = row.Draining, row.door
+		} else {
+			l.door = newDoor(l, now)
+		}
+		changed = !same || row.Slots != l.Slots
+		if changed {
+			l.door.resize(now, l.Slots)
+		}
+		l.Announced = now
+		return l, true
+	})
+	if changed {
+		t.tellChanged(l)
+	}
+}
+
+// Drain stops new calls to a target from its return on; it reports whether
+// the target is known.
+func (t *Targets) Drain(id sqid.TargetID) bool {
+	var drained Local
+	t.rows.Update(id, func(row Local, ok bool) (Local, bool) {
+		row.Draining = true
+		drained = row
+		return row, ok
+	})
+	if drained.door == nil {
+		return false
+	}
+	drained.door.close(sqreason.TargetDraining)
+	t.tellChanged(drained)
+	return true
+}
+
+// Remove forgets a target; it reports whether the target was known.
+func (t *Targets) Remove(id sqid.TargetID) bool {
+	row, ok := t.rows.Delete(id)
+	if !ok {
+		return false
+	}
+	row.door.close(sqreason.TargetDraining)
+	if t.Listener != nil {
+		t.Listener.TargetRemoved(id)
+	}
+	return true
+}
+
+// Get returns a local target.
+func (t *Targets) Get(id sqid.TargetID) (Local, bool) {
+	return t.rows.Get(id)
+}
+
+// All returns the local targets in no order.
+func (t *Targets) All() []Local {
+	var all []Local
+	t.rows.Each(func(_ sqid.TargetID, row Local) bool {
+		all = append(all, row)
+		return true
+	})
+	return all
+}
+
+// DrainAll drains every target.
+func (t *Targets) DrainAll() {
+	for _, row := range t.All() {
+		t.Drain(row.ID)
+	}
+}
+
+// Running returns the number of calls that targets run or that wait for one.
+func (t *Targets) Running() int {
+	n := 0
+	for _, row := range t.All() {
+		n += row.door.busy()
+	}
+	return n
+}
+
+// Tick removes the targets that were not renewed in time.
+func (t *Targets) Tick(now time.Time) {
+	for _, row := range t.All() {
+		row.door.tick(now)
+		if now.Sub(row.Announced) > expireAfter {
+			t.Remove(row.ID)
+		}
+	}
+}
+
+func (t *Targets) tellChanged(l Local) {
+	if t.Listener != nil {
+		t.Listener.TargetChanged(l)
+	}
+}
+
+// enter finds the call's target and waits at its door.
+func (t *Targets) enter(ctx context.Context, head *sqcallwire.CallHead, deadline time.Time) (*ticket, *sqerror.Error) {
+	row, ok := t.rows.Get(sqid.TargetID(head.GetTarget()))
+	if !ok || row.Service != sqid.ServiceID(head.GetService()) {
+		return nil, refuse(sqreason.TargetNone, errors.Errorf("no target %q here", head.GetTarget()))
+	}
+	if row.Draining {
+		return nil, refuse(sqreason.TargetDraining, nil)
+	}
+	return row.door.enter(ctx, row, head, deadline)
+}
+
+func dialer(timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
+	d := net.Dialer{Timeout: timeout}
+	return d.DialContext
+}
--- /dev/null
+++ b/internal/edge/sqpeer/pool.go
@@ -0,0 +1,90 @@
+// Package sqpeer keeps the connections between daemons: one to each peer that
+// is in use, closed when it has been idle.
+package sqpeer
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
+)
+
+const (
+	idleTimeout      = 2 * time.Minute
+	connectTimeout   = time.Second
+	reconnectDelay   = 50 * time.Millisecond
+	reconnectMax     = time.Second
+	keepaliveTime    = 10 * time.Second
+	keepaliveTimeout = 2 * time.Second
+	windowBytes      = 1 << 20
+	// MaxMessageBytes bounds one message between daemons.
+	MaxMessageBytes = 1 << 20
+)
+
+// Pool has one connection to each peer address. The zero value is ready.
+type Pool struct {
+	// Options are added to those of every connection.
+	Options []grpc.DialOption
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// Conn returns the connection to address, an IP:port. It is made on first use
+// and dials in the background.
+func (p *Pool) Conn(address string) (grpc.ClientConnInterface, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.conns[address]; ok {
+		return c, nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+address, p.options()...)
+	if err != nil {
+		return nil, sqerror.At(sqerror.StepPeer, "", err)
+	}
+	if p.conns == nil {
+		p.conns = make(map[string]*grpc.ClientConn)
+	}
+	p.conns[address] = c
+	return c, nil
+}
+
+func (p *Pool) options() []grpc.DialOption {
+	return append([]grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: reconnectDelay, Multiplier: 1.6, Jitter: 0.2, MaxDelay: reconnectMax},
+			MinConnectTimeout: connectTimeout,
+		}),
+	}, p.Options...)
+}
+
+// Close closes every connection. Calls under way end with an error.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		_ = c.Close()
+	}
+	p.conns = nil
+}
+
+// NewServer returns a gRPC server with the limits that the pool expects.
+func NewServer(options ...grpc.ServerOption) *grpc.Server {
+	return grpc.NewServer(append([]grpc.ServerOption{
+		grpc.InitialWindowSize(windowBytes),
+		grpc.InitialConnWindowSize(windowBytes),
+		grpc.MaxRecvMsgSize(MaxMessageBytes),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
+	}, options...)...)
+}
