Prove the data path in one process: refusals, streaming, cuts, one run, drain

64 MiB bodies pass through two daemons; an answer cut by its target is 502 or a cut connection, never whole; a POST whose target died runs once and is unknown, a GET with credit 2 runs at most three times.

--- /dev/null
+++ b/internal/edge/sqdaemon/doc.go
@@ -0,0 +1,3 @@
+// Package sqdaemon builds a daemon of its parts, runs it, and stops it without
+// cutting a request.
+package sqdaemon
--- /dev/null
+++ b/internal/edge/sqdaemon/listen.go
@@ -0,0 +1,85 @@
+package sqdaemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqproblem"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	maxStreams        = 1024
+)
+
+// newServer returns an HTTP server for HTTP/1.1 and unencrypted HTTP/2.
+func newServer(h http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           h,
+		Protocols:         protocols,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+	}
+}
+
+// endpoint is one of the daemon's HTTP addresses.
+type endpoint struct {
+	name     string
+	listener net.Listener
+	server   *http.Server
+}
+
+func listen(name, address string, h http.Handler) (*endpoint, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", name)
+	}
+	return &endpoint{name: name, listener: l, server: newServer(h)}, nil
+}
+
+func (e *endpoint) serve() error {
+	err := e.server.Serve(e.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrapf(err, "serve %s", e.name)
+}
+
+// shutdown finishes the requests under way, or cuts them when ctx ends.
+func (e *endpoint) shutdown(ctx context.Context, log logr.Logger) {
+	if err := e.server.Shutdown(ctx); err != nil {
+		log.Error(err, "requests were cut", "address", e.name)
+		_ = e.server.Close()
+	}
+}
+
+// withoutPanic answers a request whose handler panicked with 500, and logs it.
+// http.ErrAbortHandler passes: it cuts the connection on purpose.
+func withoutPanic(next http.Handler, log logr.Logger) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			p := recover()
+			if p == nil {
+				return
+			}
+			if p == http.ErrAbortHandler {
+				panic(p)
+			}
+			log.Error(errors.Errorf("panic: %v", p), "handler failed", "path", r.URL.Path)
+			sqproblem.Problem{Status: http.StatusInternalServerError, Run: "unknown"}.Write(w)
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/edge/sqdaemon/path_test.go
@@ -0,0 +1,264 @@
+package sqdaemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqtable"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqentry"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqlocal"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqpeer"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
+)
+
+const testKey = "sq_test"
+
+// fixedLists are lists that a test sets.
+type fixedLists struct{ index *sqlists.Index }
+
+func (f *fixedLists) Index() *sqlists.Index { return f.index }
+func (f *fixedLists) Stale(time.Time) bool  { return false }
+
+// openCharger admits everything.
+type openCharger struct{}
+
+func (openCharger) Charge(context.Context, sqid.WorkspaceID) (bool, time.Duration, error) {
+	return true, 0, nil
+}
+
+// node is the data path of one daemon on loopback.
+type node struct {
+	name    sqid.DaemonID
+	peer    string
+	caller  *httptest.Server
+	local   *httptest.Server
+	targets *sqgate.Targets
+	gate    *sqgate.Gate
+}
+
+// fleet is a few nodes that know each other's targets.
+type fleet struct {
+	t      testing.TB
+	lists  *fixedLists
+	known  *sqtable.Table[sqtarget.ID, sqtarget.Row]
+	nodes  []*node
+	metric *sqmetric.Set
+}
+
+func newFleet(t testing.TB, n int, plans ...sqlists.Plan) *fleet {
+	f := &fleet{t: t, known: new(sqtable.Table[sqtarget.ID, sqtarget.Row]), metric: sqmetric.New()}
+	f.lists = &fixedLists{index: sqlists.NewIndex(sqlists.Lists{
+		Plans:      plans,
+		Workspaces: []sqlists.Workspace{{Name: "grower", Plan: plans[0].Name, KeyDigests: []sqid.KeyDigest{sqid.DigestKey(testKey)}}},
+	})}
+	for i := range n {
+		f.nodes = append(f.nodes, f.newNode(sqid.DaemonID(string(rune('a'+i)))))
+	}
+	return f
+}
+
+func (f *fleet) newNode(name sqid.DaemonID) *node {
+	calls := new(sqcall.Table)
+	n := &node{name: name, targets: sqgate.NewTargets()}
+	n.gate = &sqgate.Gate{Daemon: name, Targets: n.targets, Calls: calls, Metrics: f.metric, Logger: logr.Discard(), Transport: sqgate.NewTransport()}
+	pool := new(sqpeer.Pool)
+	entry := &sqentry.Entry{
+		Daemon: name, Lists: f.lists, Router: &sqentry.Router{Targets: f.known}, Gate: n.gate, Conns: pool, Calls: calls,
+		Charger: openCharger{}, Metrics: f.metric, Logger: logr.Discard(), Stopping: func() bool { return false },
+	}
+	server := sqpeer.NewServer()
+	(&sqgate.Server{Gate: n.gate}).Register(server)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(f.t, err, qt.IsNil)
+	go func() { _ = server.Serve(l) }()
+	n.peer = l.Addr().String()
+	n.caller = httptest.NewServer(entry.Callers())
+	local := &sqlocal.Server{Daemon: name, Targets: n.targets, Nested: entry.Nested()}
+	n.local = httptest.NewServer(local.Handler())
+	f.t.Cleanup(func() {
+		n.caller.CloseClientConnections()
+		server.Stop()
+		pool.Close()
+		n.caller.Close()
+		n.local.Close()
+	})
+	return n
+}
+
+// target starts a target of a service beside node i.
+func (f *fleet) target(i int, service sqid.ServiceID, h http.HandlerFunc) {
+	s := httptest.NewServer(h)
+	f.t.Cleanup(s.Close)
+	n := f.nodes[i]
+	id := sqid.TargetID(string(service) + "-" + string(n.name))
+	n.targets.Announce(sqgate.Local{ID: id, Service: service, Address: s.Listener.Addr().String(), Slots: 50}, time.Now())
+	key := sqtarget.ID{Daemon: n.name, Target: id}
+	f.known.Put(key, sqtarget.Row{ID: key, Service: service, Slots: 50, PeerAddress: n.peer})
+}
+
+func (f *fleet) do(method, path, key string, body io.Reader) (*http.Response, string) {
+	r, err := http.NewRequest(method, f.nodes[0].caller.URL+path, body)
+	qt.Assert(f.t, err, qt.IsNil)
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	qt.Assert(f.t, err, qt.IsNil)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	qt.Assert(f.t, err, qt.IsNil)
+	return resp, string(text)
+}
+
+func allow(retries squnit.Credit, services ...sqid.ServiceID) sqlists.Plan {
+	p := sqlists.Plan{Name: "small", Rate: 100, Burst: 10, Weight: 1}
+	for _, s := range services {
+		p.Uses = append(p.Uses, sqlists.Use{Service: s, Retries: retries})
+	}
+	return p
+}
+
+func TestCallPassesThroughTwoDaemonsWithNestedCall(t *testing.T) {
+	f := newFleet(t, 2, allow(0, "calendar"))
+	var seen http.Header
+	f.target(1, "calendar", func(w http.ResponseWriter, r *http.Request) {
+		seen = r.Header.Clone()
+		inner, err := http.NewRequest(http.MethodGet, f.nodes[1].local.URL+"/call/directory/members?q=1", nil)
+		qt.Check(t, err, qt.IsNil)
+		inner.Header.Set("Sequoia-Call", r.Header.Get("Sequoia-Call"))
+		resp, err := http.DefaultClient.Do(inner)
+		qt.Check(t, err, qt.IsNil)
+		defer resp.Body.Close()
+		w.Header().Set("Sequoia-Secret", "no")
+		_, _ = io.Copy(w, resp.Body)
+	})
+	f.target(0, "directory", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.Header.Get("Sequoia-Workspace")+" "+r.URL.RequestURI())
+	})
+	resp, text := f.do(http.MethodGet, "/calendar/today", testKey, nil)
+	qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusOK)
+	qt.Assert(t, text, qt.Equals, "grower /members?q=1")
+	qt.Assert(t, resp.Header.Get("Sequoia-Run"), qt.Equals, "run")
+	qt.Assert(t, resp.Header.Get("Sequoia-Secret"), qt.Equals, "")
+	qt.Assert(t, seen.Get("Authorization"), qt.Equals, "")
+}
+
+func TestRefusals(t *testing.T) {
+	f := newFleet(t, 1, allow(0, "calendar", "ghost"))
+	f.target(0, "calendar", func(http.ResponseWriter, *http.Request) {})
+	f.target(0, "payments", func(http.ResponseWriter, *http.Request) {})
+	for _, c := range []struct {
+		path, key, reason string
+		status            int
+	}{
+		{"/calendar/x", "", "key-missing", 401},
+		{"/calendar/x", "sq_other", "key-unknown", 401},
+		{"/payments/x", testKey, "route-not-allowed", 403},
+		{"/ghost/x", testKey, "service-unknown", 404},
+		{"/", testKey, "service-unknown", 404},
+	} {
+		resp, text := f.do(http.MethodGet, c.path, c.key, nil)
+		qt.Check(t, resp.StatusCode, qt.Equals, c.status, qt.Commentf("%s", c.path))
+		qt.Check(t, resp.Header.Get("Sequoia-Run"), qt.Equals, "not-run")
+		qt.Check(t, text, qt.Contains, `"reason":"`+c.reason+`"`)
+	}
+	r, _ := http.NewRequest(http.MethodGet, f.nodes[0].local.URL+"/call/calendar/x", nil)
+	r.Header.Set("Sequoia-Call", "forged")
+	resp, err := http.DefaultClient.Do(r)
+	qt.Assert(t, err, qt.IsNil)
+	_ = resp.Body.Close()
+	qt.Assert(t, resp.StatusCode, qt.Equals, 401)
+}
+
+func TestLargeBodiesStream(t *testing.T) {
+	f := newFleet(t, 2, allow(0, "photos"))
+	f.target(1, "photos", func(w http.ResponseWriter, r *http.Request) {
+		photo, err := io.ReadAll(r.Body)
+		qt.Check(t, err, qt.IsNil)
+		_, _ = w.Write(photo)
+	})
+	for _, size := range []int{0, 1, sqgate.FrameBytes - 1, sqgate.FrameBytes, sqgate.FrameBytes + 1, 64 << 20} {
+		for _, known := range []bool{true, false} {
+			var body io.Reader = strings.NewReader(strings.Repeat("p", size))
+			if !known {
+				body = io.MultiReader(body)
+			}
+			resp, text := f.do(http.MethodPut, "/photos/1", testKey, body)
+			qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusOK)
+			qt.Assert(t, len(text), qt.Equals, size)
+		}
+	}
+}
+
+// TestCutAnswerIsNeverWhole has a target that promises more than it sends.
+func TestCutAnswerIsNeverWhole(t *testing.T) {
+	for _, size := range []int{10, 3 * sqgate.FrameBytes} {
+		for _, place := range []int{0, 1} {
+			f := newFleet(t, 2, allow(0, "photos"))
+			f.target(place, "photos", func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Length", "1000000")
+				_, _ = io.WriteString(w, strings.Repeat("p", size))
+				panic(http.ErrAbortHandler)
+			})
+			r, _ := http.NewRequest(http.MethodGet, f.nodes[0].caller.URL+"/photos/1", nil)
+			r.Header.Set("Authorization", "Bearer "+testKey)
+			resp, err := http.DefaultClient.Do(r)
+			if err != nil {
+				continue
+			}
+			_, err = io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			if err == nil {
+				qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusBadGateway)
+				qt.Assert(t, resp.Header.Get("Sequoia-Run"), qt.Equals, "unknown")
+			}
+		}
+	}
+}
+
+// TestNonIdempotentRunsOnce has a target that dies on its first request: the
+// next attempt would be a second run.
+func TestNonIdempotentRunsOnce(t *testing.T) {
+	for method, want := range map[string]int{http.MethodPost: 1, http.MethodGet: 3} {
+		f := newFleet(t, 3, allow(2, "payments"))
+		runs := make(chan struct{}, 10)
+		for i := range f.nodes {
+			f.target(i, "payments", func(http.ResponseWriter, *http.Request) {
+				runs <- struct{}{}
+				panic(http.ErrAbortHandler)
+			})
+		}
+		resp, _ := f.do(method, "/payments/fee", testKey, nil)
+		qt.Check(t, resp.StatusCode, qt.Equals, http.StatusBadGateway)
+		qt.Check(t, resp.Header.Get("Sequoia-Run"), qt.Equals, "unknown")
+		qt.Check(t, len(runs), qt.Equals, want, qt.Commentf("%s", method))
+	}
+}
+
+// TestDrainingTargetGetsNothingNew drains a target that entries still route to.
+func TestDrainingTargetGetsNothingNew(t *testing.T) {
+	f := newFleet(t, 2, allow(0, "calendar"))
+	f.target(0, "calendar", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "a") })
+	f.target(1, "calendar", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "b") })
+	qt.Assert(t, f.nodes[1].targets.Drain("calendar-b"), qt.IsTrue)
+	for range 20 {
+		resp, text := f.do(http.MethodPost, "/calendar/book", testKey, strings.NewReader("x"))
+		qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusOK)
+		qt.Assert(t, text, qt.Equals, "a")
+	}
+}
--- a/internal/edge/sqgate/exchange.go
+++ b/internal/edge/sqgate/exchange.go
@@ -14,6 +14,7 @@
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqpool"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
@@ -30,6 +31,9 @@
 	targetHeaderBytes    = 256 << 10
 )
 
+// buffers holds the buffers of answers under way.
+var buffers = sqpool.Pool[[FrameBytes]byte]{New: func() *[FrameBytes]byte { return new([FrameBytes]byte) }}
+
 // NewTransport returns the transport to local targets. It follows no
 // redirect, uses no proxy of the environment and changes no body.
 func NewTransport() *http.Transport {
@@ -160,7 +164,9 @@
 		Run:           uint32(squnit.RunDone),
 		ContentLength: resp.ContentLength,
 	}
-	buf := make([]byte, FrameBytes)
+	frames := buffers.Get()
+	defer buffers.Put(frames)
+	buf := frames[:]
 	n, err := Fill(resp.Body, buf)
 	frame := &sqcallwire.AnswerFrame{Head: head, Body: buf[:n]}
 	if err != nil && !errors.Is(err, io.EOF) {
