Add the decisions under load: admission, retry, routing and shedding

First versions with their interfaces, so that the gate and the entry can be wired; no test drives them yet. The gate tells the entry which part of each workspace's calls there is room for, by importance and then max-min fair by weight. Entries label what they admit with that part, so that the gate still sees the demand behind a thinned stream. A level of importance alone was ruled out: one level of four is most of the traffic, and a uniform part of a level would take from workspaces that are within their fair part.

--- a/internal/base/sqreason/reason.go
+++ b/internal/base/sqreason/reason.go
@@ -117,6 +117,7 @@
 	NoRetryServiceShed  Retry = "service-shed"
 	NoRetryNoOtherPlace Retry = "no-other-target"
 	NoRetryBodySpent    Retry = "body-spent"
+	NoRetryFinal        Retry = "final"
 )
 
 // Retries returns every reason of the vocabulary.
@@ -124,6 +125,6 @@
 	return []Retry{
 		RetryNotRun, RetryIdempotent, RetryPeerDown, RetryShedOnce,
 		NoRetryCredit, NoRetryBudget, NoRetryDeadline, NoRetryUncertain,
-		NoRetryServiceShed, NoRetryNoOtherPlace, NoRetryBodySpent,
+		NoRetryServiceShed, NoRetryNoOtherPlace, NoRetryBodySpent, NoRetryFinal,
 	}
 }
--- a/internal/base/squnit/unit.go
+++ b/internal/base/squnit/unit.go
@@ -18,6 +18,9 @@
 // Weight is a workspace's claim on a contended target, relative to others'.
 type Weight float64
 
+// Share is a part of the calls of one kind, 0 to 1.
+type Share float64
+
 // Depth is the number of calls above a call; the caller's own has depth 0.
 type Depth int
 
--- /dev/null
+++ b/internal/policy/sqadmit/demand.go
@@ -0,0 +1,147 @@
+package sqadmit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+)
+
+const (
+	// demandSpan is the time constant of the demand's average.
+	demandSpan = 200 * time.Millisecond
+	// minShare bounds what one call may stand for.
+	minShare = 0.01
+	// idleDemand is the rate, in calls a second, below which a class is
+	// forgotten.
+	idleDemand = 0.01
+)
+
+type classKey struct {
+	importance squnit.Importance
+	workspace  sqid.WorkspaceID
+}
+
+type class struct {
+	key    classKey
+	weight float64
+	// rate is in calls a second at the time at, before any thinning.
+	rate  float64
+	at    time.Time
+	share float64
+}
+
+// demand estimates, for each importance and workspace, the calls a second
+// that callers want, and divides a capacity between them: importance first,
+// then max-min fair by weight. A call that was admitted as one of a share
+// counts for all of them, so thinning at the entries does not hide demand
+// (core-stateless fair queueing, Stoica 1998, does so with labels on packets).
+type demand struct {
+	classes map[classKey]*class
+	level   squnit.Importance
+	scratch []*class
+}
+
+func (d *demand) add(now time.Time, c *Call) {
+	if d.classes == nil {
+		d.classes = make(map[classKey]*class)
+	}
+	key := classKey{c.Importance, c.Workspace}
+	row := d.classes[key]
+	if row == nil {
+		row = &class{key: key, at: now, share: 1}
+		d.classes[key] = row
+	}
+	row.weight = cmp.Or(math.Max(0, float64(c.Weight)), 1)
+	row.decay(now)
+	row.rate += 1 / shareOf(c) / demandSpan.Seconds()
+}
+
+func shareOf(c *Call) float64 {
+	if c.Share <= 0 || c.Share > 1 {
+		return 1
+	}
+	return math.Max(minShare, float64(c.Share))
+}
+
+func (c *class) decay(now time.Time) {
+	if dt := now.Sub(c.at); dt > 0 {
+		c.rate *= math.Exp(-float64(dt) / float64(demandSpan))
+		c.at = now
+	}
+}
+
+// divide sets each class's share of a capacity in calls a second.
+func (d *demand) divide(now time.Time, capacity float64) {
+	d.scratch = d.scratch[:0]
+	for key, c := range d.classes {
+		c.decay(now)
+		if c.rate < idleDemand {
+			delete(d.classes, key)
+			continue
+		}
+		d.scratch = append(d.scratch, c)
+	}
+	slices.SortFunc(d.scratch, func(a, b *class) int {
+		return cmp.Or(
+			-cmp.Compare(a.key.importance, b.key.importance),
+			cmp.Compare(a.rate*b.weight, b.rate*a.weight),
+			cmp.Compare(a.key.workspace, b.key.workspace),
+		)
+	})
+	d.level = squnit.ImportanceLow
+	for rest := d.scratch; len(rest) > 0; {
+		n := 1
+		for n < len(rest) && rest[n].key.importance == rest[0].key.importance {
+			n++
+		}
+		if capacity > 0 {
+			d.level = rest[0].key.importance
+		}
+		capacity = fill(rest[:n], capacity)
+		rest = rest[n:]
+	}
+	if capacity > 0 {
+		d.level = squnit.ImportanceLow
+	}
+}
+
+// fill divides capacity between the classes of one importance, which are in
+// order of rate for weight, and returns what is left.
+func fill(classes []*class, capacity float64) float64 {
+	var weights float64
+	for _, c := range classes {
+		weights += c.weight
+	}
+	for _, c := range classes {
+		fair := math.Max(0, capacity) * c.weight / weights
+		got := math.Min(c.rate, fair)
+		c.share = got / c.rate
+		capacity -= got
+		weights -= c.weight
+	}
+	return capacity
+}
+
+// admitAll sets every share to 1.
+func (d *demand) admitAll() {
+	d.level = squnit.ImportanceLow
+	for _, c := range d.classes {
+		c.share = 1
+	}
+}
+
+// share returns the part of calls of a workspace and importance that there is
+// room for.
+func (d *demand) share(w sqid.WorkspaceID, i squnit.Importance) float64 {
+	if c := d.classes[classKey{i, w}]; c != nil {
+		return c.share
+	}
+	if i < d.level {
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/policy/sqretry/decide.go
@@ -0,0 +1,130 @@
+package sqretry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+)
+
+const (
+	// firstBackoff is the mean pause before the first retry of a failure; it
+	// doubles with each.
+	firstBackoff = 5 * time.Millisecond
+	maxBackoff   = 250 * time.Millisecond
+	// usualMargin is the number of usual times that must be left.
+	usualMargin = 1.0
+)
+
+// Attempt is an attempt that did not succeed, and what is left for another.
+type Attempt struct {
+	NonIdempotent bool
+	// Run says whether the attempt has run.
+	Run squnit.RunState
+	// Reason is the refusal, NoReason if the target itself failed.
+	Reason sqreason.Refusal
+	// Tries is the number of attempts made, at least 1; Sheds is how many of
+	// them were refused for overload.
+	Tries, Sheds int
+	// Left is the time until the deadline, Usual the service's usual time.
+	Left, Usual time.Duration
+	// Credit and Budget are what the request and the edge have left. A retry
+	// that is decided on takes one of each.
+	Credit squnit.Credit
+	Budget bool
+	// ServiceSheds is set if the service as a whole sheds calls like this.
+	ServiceSheds bool
+	// OtherTarget is set if there is a target not yet tried.
+	OtherTarget bool
+	// BodySpent is set if the body can't be sent again.
+	BodySpent bool
+}
+
+// Verdict says whether to attempt again, and how.
+type Verdict struct {
+	Retry  bool
+	Reason sqreason.Retry
+	// ElsewhereOnly bars the targets already tried.
+	ElsewhereOnly bool
+	Backoff       time.Duration
+}
+
+// Decide decides on another attempt. What is certain to be harmless comes
+// first: a non-idempotent attempt is repeated only if it is known not to have
+// run. The caller takes credit and budget if the verdict is to retry.
+func Decide(rng *rand.Rand, a Attempt) Verdict {
+	if final(a.Reason) {
+		return no(sqreason.NoRetryFinal)
+	}
+	shed := overload(a.Reason)
+	switch {
+	case a.NonIdempotent && a.Run != squnit.RunNot:
+		return no(sqreason.NoRetryUncertain)
+	case a.BodySpent:
+		return no(sqreason.NoRetryBodySpent)
+	case shed && (a.ServiceSheds || a.Sheds > 1):
+		return no(sqreason.NoRetryServiceShed)
+	case !a.OtherTarget && a.Run == squnit.RunNot:
+		return no(sqreason.NoRetryNoOtherPlace)
+	}
+	wait := backoff(rng, a)
+	switch {
+	case a.Left <= wait+time.Duration(usualMargin*float64(a.Usual)):
+		return no(sqreason.NoRetryDeadline)
+	case a.Credit <= 0:
+		return no(sqreason.NoRetryCredit)
+	case !a.Budget:
+		return no(sqreason.NoRetryBudget)
+	}
+	return Verdict{Retry: true, Reason: why(a), ElsewhereOnly: a.OtherTarget, Backoff: wait}
+}
+
+// final reports whether a refusal would be the same anywhere.
+func final(r sqreason.Refusal) bool {
+	switch r {
+	case sqreason.CallerGone, sqreason.DeadlineExceeded, sqreason.CallUnknown, sqreason.RouteNotAllowed,
+		sqreason.BodyTooLarge, sqreason.HeaderTooLarge, sqreason.DepthExceeded, sqreason.BadRequest,
+		sqreason.OperationRunning, sqreason.OperationUnknown, sqreason.OperationExpired,
+		sqreason.OperationMismatch, sqreason.ShedDeeper, sqreason.KeyUnknown, sqreason.KeyMissing,
+		sqreason.OverRate, sqreason.LinkBudget, sqreason.ServiceUnknown, sqreason.ListsStale:
+		return true
+	}
+	return false
+}
+
+// overload reports whether a refusal says that a target is full.
+func overload(r sqreason.Refusal) bool {
+	switch r {
+	case sqreason.ShedQueueFull, sqreason.ShedImportance, sqreason.ShedFairness,
+		sqreason.ShedDeadline, sqreason.ShedByTarget:
+		return true
+	}
+	return false
+}
+
+// why returns the reason of a retry that is made.
+func why(a Attempt) sqreason.Retry {
+	switch {
+	case overload(a.Reason):
+		return sqreason.RetryShedOnce
+	case a.Reason == sqreason.PeerUnreachable || a.Reason == sqreason.TargetUnreachable:
+		return sqreason.RetryPeerDown
+	case a.Run == squnit.RunNot:
+		return sqreason.RetryNotRun
+	default:
+		return sqreason.RetryIdempotent
+	}
+}
+
+// backoff returns no pause for a first refusal that cost the target nothing,
+// and otherwise a random one with a mean that doubles.
+func backoff(rng *rand.Rand, a Attempt) time.Duration {
+	if a.Run == squnit.RunNot && a.Tries <= 1 {
+		return 0
+	}
+	mean := min(maxBackoff, firstBackoff<<min(max(a.Tries-1, 0), 10))
+	return time.Duration((0.5 + rng.Float64()) * float64(mean))
+}
+
+func no(r sqreason.Retry) Verdict { return Verdict{Reason: r} }
--- /dev/null
+++ b/internal/policy/sqroute/target.go
@@ -0,0 +1,210 @@
+package sqroute
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqadmit"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
+)
+
+const (
+	// latencyGain and failGain are the weights of one call.
+	latencyGain = 0.1
+	failGain    = 0.15
+	// loadSpan is the time constant with which a reported load loses weight.
+	loadSpan = 500 * time.Millisecond
+	// hotBusy is the busy part from which latency counts no more, shortBusy
+	// that from which the next tier is tried.
+	hotBusy   = 0.8
+	shortBusy = 1.2
+	// slowStart is the time over which a new target gets its full part of the
+	// calls, slowStartPart what it gets at first.
+	slowStart     = time.Second
+	slowStartPart = 0.2
+	// ejectFails is the part of failures from which a target is ejected.
+	ejectFails = 0.5
+	// firstEjection and maxEjection bound the time for which it is.
+	firstEjection = time.Second
+	maxEjection   = 30 * time.Second
+	// maxEjectedPart is the part of a service that may be ejected at once.
+	maxEjectedPart = 1.0 / 3
+	// forgetAfter is the time after which an unseen target is forgotten.
+	forgetAfter = time.Minute
+)
+
+// target is what answers have shown of one target.
+type target struct {
+	service     *service
+	incarnation sqid.Incarnation
+	slots       float64
+	first       time.Time
+	seen        time.Time
+	inFlight    int
+	// latency is in seconds, fails and shed are parts of the calls.
+	latency float64
+	fails   float64
+	shed    float64
+	// busy is the reported load as part of the limit, at the time busyAt.
+	busy   float64
+	busyAt time.Time
+	// until is the end of the ejection; ejections counts those in a row.
+	until     time.Time
+	ejections int
+}
+
+// service is what is known of the targets of one service.
+type service struct {
+	first   time.Time
+	targets map[sqtarget.ID]*target
+	// open is the number of targets that are not draining.
+	open  int
+	usual float64
+	// until is the end of the last ejection.
+	until time.Time
+}
+
+func (t *target) observe(now time.Time, latency time.Duration, o sqadmit.Outcome, load *sqadmit.Load) {
+	if load != nil {
+		t.busy = float64(load.InFlight+load.Queued) / float64(max(1, load.Limit))
+		t.busyAt = now
+		t.shed += failGain * (1 - float64(load.Share) - t.shed)
+	}
+	failed := 0.0
+	switch o {
+	case sqadmit.OK:
+		t.latency = average(t.latency, latency.Seconds())
+		t.service.usual = average(t.service.usual, latency.Seconds())
+	case sqadmit.Failed:
+		failed = 1
+	}
+	t.fails += failGain * (failed - t.fails)
+	if t.fails < failGain {
+		t.ejections = 0
+	}
+}
+
+// load returns the calls in flight for each slot, from what was last reported
+// and from the daemon's own calls.
+func (t *target) load(now time.Time) float64 {
+	reported := t.busy * math.Exp(-float64(now.Sub(t.busyAt))/float64(loadSpan))
+	return max(reported, float64(t.inFlight)/t.slots)
+}
+
+// better reports whether t is the better choice of two.
+func (t *target) better(now time.Time, other *target) bool {
+	a, b := t.load(now), other.load(now)
+	if a >= hotBusy || b >= hotBusy {
+		return a < b
+	}
+	return t.cost() < other.cost()
+}
+
+// cost is the expected time of a call, with failures counted as lost time.
+func (t *target) cost() float64 {
+	return t.latency * (1 + float64(t.inFlight)/t.slots) / max(1-t.fails, 0.05)
+}
+
+// short reports whether the target lacks capacity.
+func (t *target) short(now time.Time) bool { return t.load(now) >= shortBusy }
+
+func (t *target) ejected(now time.Time) bool { return now.Before(t.until) }
+
+// warm draws whether a target that is new to its service gets this call.
+func (t *target) warm(now time.Time, rng *rand.Rand) bool {
+	age := now.Sub(t.first)
+	if age >= slowStart || t.first.Sub(t.service.first) < slowStart {
+		return true
+	}
+	part := slowStartPart + (1-slowStartPart)*float64(age)/float64(slowStart)
+	return rng.Float64() < part
+}
+
+// bound keeps the number of ejected targets within its part of the service.
+func (s *service) bound(now time.Time, open int) {
+	s.open = open
+	if !now.Before(s.until) {
+		return
+	}
+	for s.countEjected(now) > s.maxEjected() {
+		var next *target
+		for _, t := range s.targets {
+			if t.ejected(now) && (next == nil || t.until.Before(next.until)) {
+				next = t
+			}
+		}
+		next.until = now
+	}
+}
+
+// maybeEject ejects a target that fails much more than the others do.
+func (s *service) maybeEject(now time.Time, t *target) {
+	if t.fails < ejectFails || t.ejected(now) || s.countEjected(now) >= s.maxEjected() {
+		return
+	}
+	if s.otherFails(t) > t.fails/2 {
+		return
+	}
+	t.until = now.Add(min(maxEjection, firstEjection<<min(t.ejections, 10)))
+	s.until = later(s.until, t.until)
+	t.ejections++
+	t.fails = ejectFails
+}
+
+func (s *service) maxEjected() int { return int(maxEjectedPart * float64(s.open)) }
+
+func (s *service) countEjected(now time.Time) int {
+	n := 0
+	for _, t := range s.targets {
+		if t.ejected(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// otherFails is the mean part of failures of the other targets.
+func (s *service) otherFails(t *target) float64 {
+	sum := 0.0
+	for _, o := range s.targets {
+		if o != t {
+			sum += o.fails
+		}
+	}
+	return sum / float64(max(1, len(s.targets)-1))
+}
+
+// sheds reports whether most targets that reported lately shed most calls.
+func (s *service) sheds(now time.Time) bool {
+	shed, all := 0, 0
+	for _, t := range s.targets {
+		if now.Sub(t.busyAt) > loadSpan {
+			continue
+		}
+		all++
+		if t.shed > 0.5 || t.busy >= shortBusy {
+			shed++
+		}
+	}
+	return shed*2 > all
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func average(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + latencyGain*(sample-old)
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/internal/policy/sqshed/below.go
@@ -0,0 +1,52 @@
+package sqshed
+
+// maxRooms bounds the rooms that one answer carries.
+const maxRooms = 8
+
+// Below collects, for one call that a gate has handed to its target, the
+// rooms of the services that its nested calls reached. It becomes the
+// `deeper` of the call's own answer. The zero value is empty; it is not safe
+// for concurrent use.
+type Below struct {
+	rooms []Room
+}
+
+// Add takes the room that an answer to a nested call named for the service
+// that was called, and what that answer carried from deeper services. Only
+// the smallest room of a service is kept, and only the smallest of all if
+// there are too many.
+func (b *Below) Add(own Room, deeper []Room) {
+	b.add(own)
+	for i := range deeper {
+		b.add(deeper[i])
+	}
+}
+
+func (b *Below) add(r Room) {
+	if r.Share >= fullShare {
+		return
+	}
+	widest := 0
+	for i := range b.rooms {
+		if b.rooms[i].Service == r.Service {
+			if r.Share < b.rooms[i].Share {
+				b.rooms[i] = r
+			}
+			return
+		}
+		if b.rooms[i].Share > b.rooms[widest].Share {
+			widest = i
+		}
+	}
+	switch {
+	case len(b.rooms) < maxRooms:
+		b.rooms = append(b.rooms, r)
+	case r.Share < b.rooms[widest].Share:
+		b.rooms[widest] = r
+	}
+}
+
+// Rooms returns what was collected.
+func (b *Below) Rooms() []Room {
+	return b.rooms
+}
