Add the stand-in target and the open-loop load tool

The process checks need a target that can be slow, cold, shedding, lying or crossing and that records every call that reached it, and a load tool whose senders no late answer slows. Latency counts from the scheduled arrival, so a stalled system can't hide its queue.

A crossed answer is made on the wire: the target writes its answer a second time on the kept-alive HTTP/1.1 connection. Swapping bodies inside the target was ruled out, since no gate could tell it from a true answer. The stand-in repeats the Sequoia-Call it was given in its answer, so that a gate can check it where a target does so.

--- a/cmd/sequoia-standin/main.go
+++ b/cmd/sequoia-standin/main.go
@@ -2,4 +2,40 @@
 // the platform, targets, a load tool and a demo.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+// subcommands lists what the program can do, each from a file of its own.
+var subcommands = []func() *cobra.Command{
+	newTarget,
+	newLoad,
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := newRoot().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "sequoia-standin:", err)
+		os.Exit(1)
+	}
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "sequoia-standin",
+		Short:         "Stand-ins for the platform, for targets and for callers",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	for _, f := range subcommands {
+		root.AddCommand(f())
+	}
+	return root
+}
--- /dev/null
+++ b/internal/standin/sqload/result.go
@@ -0,0 +1,191 @@
+package sqload
+
+import (
+	"encoding/json"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-faster/errors"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+)
+
+// BinSpan is the width of one bin of goodput.
+const BinSpan = 100 * time.Millisecond
+
+const (
+	lowestLatency  = 1
+	highestLatency = int64(time.Minute / time.Microsecond)
+	latencyDigits  = 3
+)
+
+// Sample is one request with all its sends.
+type Sample struct {
+	Workspace  sqid.WorkspaceID  `json:"workspace"`
+	Method     string            `json:"method"`
+	Path       string            `json:"path"`
+	Importance squnit.Importance `json:"importance"`
+	// Scheduled and Ended are in Unix nanoseconds.
+	Scheduled int64     `json:"scheduled"`
+	Ended     int64     `json:"ended"`
+	Whole     bool      `json:"whole"`
+	Attempts  []Attempt `json:"attempts"`
+}
+
+// Account sums up some of the requests of a run.
+type Account struct {
+	Requests int `json:"requests"`
+	Whole    int `json:"whole"`
+	Attempts int `json:"attempts"`
+	// Cut and Crossed count attempts; Crossed must be 0.
+	Cut     int `json:"cut"`
+	Crossed int `json:"crossed"`
+	// RefusedInRate counts attempts inside the plan's rate refused for rate.
+	RefusedInRate int            `json:"refusedInRate"`
+	InRate        int            `json:"inRate"`
+	Status        map[int]int    `json:"status"`
+	Reason        map[string]int `json:"reason"`
+	Run           map[string]int `json:"run"`
+	// Latency is of whole requests, from their scheduled time.
+	Latency Latency `json:"latency"`
+
+	histogram *hdrhistogram.Histogram
+}
+
+// Latency are quantiles in microseconds.
+type Latency struct {
+	P50  int64 `json:"p50"`
+	P90  int64 `json:"p90"`
+	P99  int64 `json:"p99"`
+	P999 int64 `json:"p999"`
+	Max  int64 `json:"max"`
+}
+
+// Result is the outcome of a run.
+type Result struct {
+	Seed uint64 `json:"seed"`
+	// Start is in Unix nanoseconds.
+	Start int64 `json:"start"`
+	// NotSent counts requests beyond MaxInFlight.
+	NotSent      int                           `json:"notSent"`
+	All          *Account                      `json:"all"`
+	ByWorkspace  map[sqid.WorkspaceID]*Account `json:"byWorkspace"`
+	ByImportance map[string]*Account           `json:"byImportance"`
+	// Goodput counts whole requests by the bin in which they ended.
+	Goodput []int `json:"goodput"`
+	// Samples are all requests in order of schedule.
+	Samples []Sample `json:"-"`
+}
+
+func newResult(cfg Config, start time.Time, samples []Sample, notSent int) *Result {
+	slices.SortStableFunc(samples, func(a, b Sample) int { return int(a.Scheduled - b.Scheduled) })
+	r := &Result{
+		Seed: cfg.Seed, Start: start.UnixNano(), NotSent: notSent, Samples: samples,
+		All:          newAccount(),
+		ByWorkspace:  make(map[sqid.WorkspaceID]*Account),
+		ByImportance: make(map[string]*Account),
+	}
+	for i := range samples {
+		s := &samples[i]
+		r.All.add(s)
+		account(r.ByWorkspace, s.Workspace).add(s)
+		account(r.ByImportance, s.Importance.String()).add(s)
+		r.addGoodput(s)
+	}
+	r.All.finish()
+	for _, a := range r.ByWorkspace {
+		a.finish()
+	}
+	for _, a := range r.ByImportance {
+		a.finish()
+	}
+	return r
+}
+
+func (r *Result) addGoodput(s *Sample) {
+	if !s.Whole {
+		return
+	}
+	bin := int((s.Ended - r.Start) / int64(BinSpan))
+	for len(r.Goodput) <= bin {
+		r.Goodput = append(r.Goodput, 0)
+	}
+	r.Goodput[bin]++
+}
+
+func account[K comparable](m map[K]*Account, key K) *Account {
+	a, ok := m[key]
+	if !ok {
+		a = newAccount()
+		m[key] = a
+	}
+	return a
+}
+
+func newAccount() *Account {
+	return &Account{
+		Status: make(map[int]int), Reason: make(map[string]int), Run: make(map[string]int),
+		histogram: hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
+	}
+}
+
+func (a *Account) add(s *Sample) {
+	a.Requests++
+	if s.Whole {
+		a.Whole++
+		latency := (s.Ended - s.Scheduled) / int64(time.Microsecond)
+		_ = a.histogram.RecordValue(min(max(latency, lowestLatency), highestLatency))
+	}
+	for i := range s.Attempts {
+		a.addAttempt(&s.Attempts[i])
+	}
+}
+
+func (a *Account) addAttempt(t *Attempt) {
+	a.Attempts++
+	a.Status[t.Status]++
+	a.Run[t.Run]++
+	if t.Reason != "" {
+		a.Reason[t.Reason]++
+	}
+	if t.Cut {
+		a.Cut++
+	}
+	if t.Crossed {
+		a.Crossed++
+	}
+	if t.InRate {
+		a.InRate++
+		if t.RefusedForRate() {
+			a.RefusedInRate++
+		}
+	}
+}
+
+// RefusedForRate reports whether an attempt was refused by the rate limit, or
+// because the limit could not be asked.
+func (a *Attempt) RefusedForRate() bool {
+	return a.Reason == "over-rate" || a.Reason == "ledger-unavailable"
+}
+
+func (a *Account) finish() {
+	h := a.histogram
+	a.Latency = Latency{
+		P50: h.ValueAtQuantile(50), P90: h.ValueAtQuantile(90), P99: h.ValueAtQuantile(99),
+		P999: h.ValueAtQuantile(99.9), Max: h.Max(),
+	}
+}
+
+// WriteSamples writes every request as one JSON line.
+func (r *Result) WriteSamples(w io.Writer) error {
+	e := json.NewEncoder(w)
+	for i := range r.Samples {
+		if err := e.Encode(&r.Samples[i]); err != nil {
+			return errors.Wrap(err, "write samples")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/sqtargetstand/announce.go
@@ -0,0 +1,113 @@
+package sqtargetstand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+)
+
+const (
+	announceTimeout = 2 * time.Second
+	retryAnnounce   = 100 * time.Millisecond
+	// renewals is how often a target renews within the span it was given.
+	renewals = 3
+)
+
+// announcement is the body of PUT /v1/targets/{name}.
+type announcement struct {
+	Service  sqid.ServiceID `json:"service"`
+	Address  string         `json:"address"`
+	Slots    squnit.Slots   `json:"slots"`
+	LoadPath string         `json:"loadPath"`
+}
+
+type announced struct {
+	RenewWithin sqsettings.Span `json:"renewWithin"`
+}
+
+// announceUntil announces and renews until ctx ends, then drains and
+// withdraws the target.
+func (t *Target) announceUntil(ctx context.Context) error {
+	if t.Config.LocalAddress == "" {
+		<-ctx.Done()
+		return nil
+	}
+	for ctx.Err() == nil {
+		wait := retryAnnounce
+		if within, err := t.announce(ctx); err == nil {
+			wait = within / renewals
+		}
+		sleep(ctx, wait)
+	}
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
+	defer cancel()
+	if err := t.send(stop, http.MethodPost, "/drain", nil, nil); err != nil {
+		return errors.Wrap(err, "drain")
+	}
+	t.waitIdle(stop)
+	return errors.Wrap(t.send(stop, http.MethodDelete, "", nil, nil), "withdraw")
+}
+
+func (t *Target) waitIdle(ctx context.Context) {
+	sleep(ctx, goneAfter)
+	for (len(t.slots) > 0 || t.waiting.Load() > 0) && ctx.Err() == nil {
+		sleep(ctx, lateAfter)
+	}
+}
+
+func (t *Target) announce(ctx context.Context) (time.Duration, error) {
+	slots := t.Config.AnnouncedSlots
+	if slots == 0 {
+		slots = t.Config.Slots
+	}
+	body, err := json.Marshal(announcement{
+		Service: t.Config.Service, Address: t.Config.Address, Slots: slots, LoadPath: LoadPath,
+	})
+	if err != nil {
+		return 0, errors.Wrap(err, "encode announcement")
+	}
+	var answer announced
+	if err := t.send(ctx, http.MethodPut, "", body, &answer); err != nil {
+		return 0, err
+	}
+	if answer.RenewWithin <= 0 {
+		return 0, errors.New("announcement: renewWithin is not positive")
+	}
+	return time.Duration(answer.RenewWithin), nil
+}
+
+func (t *Target) send(ctx context.Context, method, suffix string, body []byte, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	url := "http://" + t.Config.LocalAddress + "/v1/targets/" + string(t.Config.Name) + suffix
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "announcement")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := t.Client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "announcement")
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, "announcement")
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return errors.Errorf("announcement: status %d: %s", resp.StatusCode, text)
+	}
+	if answer == nil {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(text, answer), "announcement")
+}
--- /dev/null
+++ b/internal/standin/sqtargetstand/server.go
@@ -0,0 +1,177 @@
+package sqtargetstand
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	drainTimeout  = 20 * time.Second
+	// goneAfter is how long a withdrawn target still serves calls under way.
+	goneAfter = 200 * time.Millisecond
+)
+
+// Target is a running stand-in. The exported fields are set before Run.
+type Target struct {
+	Config Config
+	// Client makes nested calls and announcements; nil takes a default.
+	Client *http.Client
+
+	record    Record
+	behaviour behaviourBox
+	slots     chan struct{}
+	waiting   atomic.Int64
+	runs      atomic.Uint64
+
+	rndMu sync.Mutex
+	rnd   *rand.Rand
+}
+
+// Run serves until ctx ends, then drains: it tells its daemon, finishes what
+// runs, withdraws itself and returns.
+func (t *Target) Run(ctx context.Context) error {
+	if err := t.Config.Check(); err != nil {
+		return err
+	}
+	t.Prepare(time.Now())
+	servers, err := t.listen()
+	if err != nil {
+		return err
+	}
+	var g errgroup.Group
+	for _, s := range servers {
+		g.Go(s.serve)
+	}
+	err = t.announceUntil(ctx)
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
+	defer cancel()
+	for _, s := range servers {
+		err = errors.Join(err, s.server.Shutdown(stop))
+	}
+	return errors.Join(err, g.Wait())
+}
+
+// Prepare makes the target ready to serve through Handler; Run calls it.
+func (t *Target) Prepare(now time.Time) {
+	if t.Client == nil {
+		t.Client = newClient()
+	}
+	t.slots = make(chan struct{}, t.Config.Slots)
+	t.rnd = rand.New(rand.NewPCG(t.Config.Seed, uint64(len(t.Config.Name))))
+	t.behaviour.set(t.Config.Behaviour, now)
+}
+
+func newClient() *http.Client {
+	tr := &http.Transport{MaxIdleConnsPerHost: 512, MaxIdleConns: 0, IdleConnTimeout: time.Minute}
+	return &http.Client{Transport: tr}
+}
+
+type listening struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+func (l listening) serve() error {
+	if err := l.server.Serve(l.listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
+
+func (t *Target) listen() ([]listening, error) {
+	handlers := map[string]http.Handler{t.Config.Address: t.Handler()}
+	if t.Config.ControlAddress != "" {
+		handlers[t.Config.ControlAddress] = t.ControlHandler()
+	}
+	var all []listening
+	for address, h := range handlers {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, open := range all {
+				_ = open.listener.Close()
+			}
+			return nil, errors.Wrap(err, "listen")
+		}
+		var protocols http.Protocols
+		protocols.SetHTTP1(true)
+		protocols.SetUnencryptedHTTP2(true)
+		server := &http.Server{Handler: h, Protocols: &protocols, ReadHeaderTimeout: headerTimeout}
+		all = append(all, listening{listener: l, server: server})
+	}
+	return all, nil
+}
+
+// ControlHandler serves the behaviour and the record.
+func (t *Target) ControlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/behaviour", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, t.behaviour.get())
+	})
+	mux.HandleFunc("PUT /v1/behaviour", func(w http.ResponseWriter, r *http.Request) {
+		var b Behaviour
+		d := json.NewDecoder(r.Body)
+		d.DisallowUnknownFields()
+		if err := d.Decode(&b); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		t.behaviour.set(b, time.Now())
+		writeJSON(w, b)
+	})
+	mux.HandleFunc("GET /v1/runs", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, t.record.Runs())
+	})
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// LoadPath is where a target reports its load.
+const LoadPath = "/sequoia-standin/load"
+
+// LoadReport is what the load endpoint answers.
+type LoadReport struct {
+	// Load is the part of the slots in use, from 0 to 1.
+	Load     float64 `json:"load"`
+	InFlight int     `json:"inFlight"`
+	Slots    int     `json:"slots"`
+}
+
+// Handler serves calls and the load endpoint.
+func (t *Target) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+LoadPath, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, t.load())
+	})
+	mux.HandleFunc("/", t.serveCall)
+	return mux
+}
+
+func (t *Target) load() LoadReport {
+	report := LoadReport{InFlight: len(t.slots), Slots: cap(t.slots)}
+	if b := t.behaviour.get(); b.LoadLies {
+		report.InFlight = int(b.LoadLie * float64(report.Slots))
+	}
+	report.Load = float64(report.InFlight) / float64(report.Slots)
+	return report
+}
+
+func (t *Target) serviceTime(now time.Time) time.Duration {
+	t.rndMu.Lock()
+	d := t.Config.ServiceTime.Draw(t.rnd)
+	t.rndMu.Unlock()
+	return time.Duration(float64(d) * t.behaviour.factor(now))
+}
