Run fleets of real processes on loopback

Demo, experiments and fault tests need the same: platform, daemons and targets as processes with settings, readiness, signals by name, records and metrics, and no process left behind. A target leaves its record in a file when it ends, or checks after a drain would miss runs.

go-faster/errors wraps a nil error into one, so results are not wrapped where they may be nil.

--- /dev/null
+++ b/internal/standin/sqfleet/admin.go
@@ -0,0 +1,236 @@
+package sqfleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/standin/sqtargetstand"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
+)
+
+const adminTimeout = 15 * time.Second
+
+var adminClient = &http.Client{Timeout: adminTimeout}
+
+// answer is what an HTTP API answered.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// send sends one request to an HTTP API; body is encoded as JSON unless nil.
+func send(ctx context.Context, method, url string, header http.Header, body any) (answer, error) {
+	var text []byte
+	if body != nil {
+		var err error
+		if text, err = json.Marshal(body); err != nil {
+			return answer{}, errors.Wrap(err, "encode")
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(text))
+	if err != nil {
+		return answer{}, errors.Wrap(err, "request")
+	}
+	if header != nil {
+		req.Header = header
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := adminClient.Do(req)
+	if err != nil {
+		return answer{}, errors.Wrap(err, "send")
+	}
+	defer resp.Body.Close()
+	out, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: out}, err
+}
+
+func (a answer) check(what string) error {
+	if a.status >= http.StatusMultipleChoices {
+		return errors.Errorf("%s: status %d: %s", what, a.status, a.body)
+	}
+	return nil
+}
+
+func (f *Fleet) ready(ctx context.Context, d *Daemon) bool {
+	a, err := send(ctx, http.MethodGet, "http://"+d.AdminAddress+"/readyz", nil, nil)
+	return err == nil && a.status == http.StatusOK
+}
+
+func (f *Fleet) admin(ctx context.Context, d *Daemon, method, path, ifMatch string, body any) (answer, error) {
+	h := http.Header{"Authorization": {"Bearer " + f.adminKey}}
+	if ifMatch != "" {
+		h.Set("If-Match", ifMatch)
+	}
+	return send(ctx, method, "http://"+d.AdminAddress+path, h, body)
+}
+
+// PutList replaces one list, "plans" or "workspaces", through a daemon, and
+// returns the new revision as the ETag has it.
+func (f *Fleet) PutList(ctx context.Context, d *Daemon, list string, rows any) (string, error) {
+	path := "/v1/lists/" + list
+	a, err := f.admin(ctx, d, http.MethodGet, path, "", nil)
+	if err == nil {
+		err = a.check("get " + list)
+	}
+	if err != nil {
+		return "", err
+	}
+	a, err = f.admin(ctx, d, http.MethodPut, path, a.header.Get("ETag"), rows)
+	if err == nil {
+		err = a.check("put " + list)
+	}
+	return a.header.Get("ETag"), err
+}
+
+// PutLists replaces both lists through a daemon and returns the revision.
+func (f *Fleet) PutLists(ctx context.Context, d *Daemon, lists sqlists.Lists) (string, error) {
+	if _, err := f.PutList(ctx, d, "plans", lists.Plans); err != nil {
+		return "", err
+	}
+	return f.PutList(ctx, d, "workspaces", lists.Workspaces)
+}
+
+// Status returns a daemon's own view.
+func (f *Fleet) Status(ctx context.Context, d *Daemon) (map[string]any, error) {
+	a, err := f.admin(ctx, d, http.MethodGet, "/v1/status", "", nil)
+	if err == nil {
+		err = a.check("status")
+	}
+	if err != nil {
+		return nil, err
+	}
+	var status map[string]any
+	return status, json.Unmarshal(a.body, &status)
+}
+
+// Metrics are the metric families of a daemon by name.
+type Metrics map[string]*dto.MetricFamily
+
+// Sum returns the sum of a family's counters and gauges whose labels include
+// all of labels, given as name and value in turn.
+func (m Metrics) Sum(name string, labels ...string) float64 {
+	total := 0.0
+	for _, metric := range m[name].GetMetric() {
+		if hasLabels(metric, labels) {
+			total += metric.GetCounter().GetValue() + metric.GetGauge().GetValue()
+		}
+	}
+	return total
+}
+
+func hasLabels(m *dto.Metric, labels []string) bool {
+	for i := 0; i+1 < len(labels); i += 2 {
+		found := false
+		for _, l := range m.GetLabel() {
+			found = found || l.GetName() == labels[i] && l.GetValue() == labels[i+1]
+		}
+		if !found {
+			return false
+		}
+	}
+	return true
+}
+
+// Metrics reads a daemon's metrics.
+func (f *Fleet) Metrics(ctx context.Context, d *Daemon) (Metrics, error) {
+	a, err := f.admin(ctx, d, http.MethodGet, "/metrics", "", nil)
+	if err == nil {
+		err = a.check("metrics")
+	}
+	if err != nil {
+		return nil, err
+	}
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(bytes.NewReader(a.body))
+	return families, err
+}
+
+// SetBehaviour switches what a target does wrong.
+func (f *Fleet) SetBehaviour(ctx context.Context, t *Target, b sqtargetstand.Behaviour) error {
+	a, err := send(ctx, http.MethodPut, "http://"+t.ControlAddress+"/v1/behaviour", nil, b)
+	if err != nil {
+		return err
+	}
+	return a.check("behaviour of " + t.Name)
+}
+
+// Runs returns the record of a target, also of one that was terminated.
+func (f *Fleet) Runs(ctx context.Context, t *Target) ([]sqtargetstand.Run, error) {
+	if !t.Running() {
+		return readRecord(t.recordFile)
+	}
+	a, err := send(ctx, http.MethodGet, "http://"+t.ControlAddress+"/v1/runs", nil, nil)
+	if err == nil {
+		err = a.check("runs of " + t.Name)
+	}
+	if err != nil {
+		return nil, err
+	}
+	var runs []sqtargetstand.Run
+	return runs, json.Unmarshal(a.body, &runs)
+}
+
+func readRecord(file string) ([]sqtargetstand.Run, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read record")
+	}
+	var runs []sqtargetstand.Run
+	return runs, json.Unmarshal(text, &runs)
+}
+
+// AllRuns returns the records of all targets, by service.
+func (f *Fleet) AllRuns(ctx context.Context) (map[sqid.ServiceID][]sqtargetstand.Run, error) {
+	all := make(map[sqid.ServiceID][]sqtargetstand.Run)
+	for _, t := range f.targets {
+		runs, err := f.Runs(ctx, t)
+		if err != nil {
+			return nil, err
+		}
+		all[t.Service] = append(all[t.Service], runs...)
+	}
+	return all, nil
+}
+
+// SetFaults sets the platform's faults, in the form of its fault API.
+func (f *Fleet) SetFaults(ctx context.Context, faults map[string]any) error {
+	a, err := send(ctx, http.MethodPut, "http://"+f.platform.FaultAddress+"/v1/faults", nil, faults)
+	if err != nil {
+		return err
+	}
+	return a.check("platform faults")
+}
+
+// PlatformAction calls one of the platform's actions: save, restore, compact.
+func (f *Fleet) PlatformAction(ctx context.Context, action string) error {
+	a, err := send(ctx, http.MethodPost, "http://"+f.platform.FaultAddress+"/v1/"+action, nil, nil)
+	if err != nil {
+		return err
+	}
+	return a.check("platform " + action)
+}
+
+// PlatformCounts returns the calls that the platform has seen, by kind.
+func (f *Fleet) PlatformCounts(ctx context.Context) (map[string]int, error) {
+	a, err := send(ctx, http.MethodGet, "http://"+f.platform.FaultAddress+"/v1/counts", nil, nil)
+	if err == nil {
+		err = a.check("platform counts")
+	}
+	if err != nil {
+		return nil, err
+	}
+	var counts map[string]int
+	return counts, json.Unmarshal(a.body, &counts)
+}
--- /dev/null
+++ b/internal/standin/sqfleet/death_other.go
@@ -0,0 +1,9 @@
+//go:build !linux
+
+package sqfleet
+
+import "syscall"
+
+func attributes() *syscall.SysProcAttr {
+	return nil
+}
--- a/internal/standin/sqtargetstand/announce.go
+++ b/internal/standin/sqtargetstand/announce.go
@@ -20,6 +20,8 @@
 	retryAnnounce   = 100 * time.Millisecond
 	// renewals is how often a target renews within the span it was given.
 	renewals = 3
+	// renewEvery is the longest wait, so that a restarted daemon hears soon.
+	renewEvery = time.Second
 )
 
 // announcement is the body of PUT /v1/targets/{name}.
@@ -44,7 +46,7 @@
 	for ctx.Err() == nil {
 		wait := retryAnnounce
 		if within, err := t.announce(ctx); err == nil {
-			wait = within / renewals
+			wait = min(within/renewals, renewEvery)
 		}
 		sleep(ctx, wait)
 	}
@@ -54,7 +56,7 @@
 		return errors.Wrap(err, "drain")
 	}
 	t.waitIdle(stop)
-	return errors.Wrap(t.send(stop, http.MethodDelete, "", nil, nil), "withdraw")
+	return t.send(stop, http.MethodDelete, "", nil, nil)
 }
 
 func (t *Target) waitIdle(ctx context.Context) {
@@ -109,5 +111,5 @@
 	if answer == nil {
 		return nil
 	}
-	return errors.Wrap(json.Unmarshal(text, answer), "announcement")
+	return json.Unmarshal(text, answer)
 }
--- a/internal/standin/sqtargetstand/config.go
+++ b/internal/standin/sqtargetstand/config.go
@@ -44,6 +44,8 @@
 	AnswerBytes squnit.Bytes `toml:"answerBytes"`
 	// Seed seeds the service times.
 	Seed uint64 `toml:"seed"`
+	// RecordFile gets the record, as JSON, when the target ends; empty for none.
+	RecordFile string `toml:"recordFile"`
 	// Behaviour holds from the start.
 	Behaviour Behaviour `toml:"behaviour"`
 }
--- a/internal/standin/sqtargetstand/server.go
+++ b/internal/standin/sqtargetstand/server.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,7 +59,20 @@
 	for _, s := range servers {
 		err = errors.Join(err, s.server.Shutdown(stop))
 	}
-	return errors.Join(err, g.Wait())
+	return errors.Join(err, g.Wait(), t.writeRecord())
+}
+
+const recordPerm = 0o600
+
+func (t *Target) writeRecord() error {
+	if t.Config.RecordFile == "" {
+		return nil
+	}
+	text, err := json.Marshal(t.record.Runs())
+	if err != nil {
+		return errors.Wrap(err, "encode record")
+	}
+	return os.WriteFile(t.Config.RecordFile, text, recordPerm)
 }
 
 // Prepare makes the target ready to serve through Handler; Run calls it.
