Wire the policies into the data path: doors, live calls, routes, retries, shedding

The gate's door asks sqadmit for each call, and a queued call waits for its verdict; the entry routes by sqroute, retries by sqretry and refuses by sqshed.

--- a/internal/edge/sqdaemon/path_test.go
+++ b/internal/edge/sqdaemon/path_test.go
@@ -15,12 +15,13 @@
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
-	"github.com/sequoiatack/sequoiatack/internal/base/sqtable"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqentry"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqlocal"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqpeer"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqroute"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqshed"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
@@ -55,13 +56,13 @@
 type fleet struct {
 	t      testing.TB
 	lists  *fixedLists
-	known  *sqtable.Table[sqtarget.ID, sqtarget.Row]
+	known  *sqtarget.Directory
 	nodes  []*node
 	metric *sqmetric.Set
 }
 
 func newFleet(t testing.TB, n int, plans ...sqlists.Plan) *fleet {
-	f := &fleet{t: t, known: new(sqtable.Table[sqtarget.ID, sqtarget.Row]), metric: sqmetric.New()}
+	f := &fleet{t: t, known: new(sqtarget.Directory), metric: sqmetric.New()}
 	f.lists = &fixedLists{index: sqlists.NewIndex(sqlists.Lists{
 		Plans:      plans,
 		Workspaces: []sqlists.Workspace{{Name: "grower", Plan: plans[0].Name, KeyDigests: []sqid.KeyDigest{sqid.DigestKey(testKey)}}},
@@ -74,11 +75,11 @@
 
 func (f *fleet) newNode(name sqid.DaemonID) *node {
 	calls := new(sqcall.Table)
-	n := &node{name: name, targets: sqgate.NewTargets()}
+	n := &node{name: name, targets: new(sqgate.Targets)}
 	n.gate = &sqgate.Gate{Daemon: name, Targets: n.targets, Calls: calls, Metrics: f.metric, Logger: logr.Discard(), Transport: sqgate.NewTransport()}
 	pool := new(sqpeer.Pool)
 	entry := &sqentry.Entry{
-		Daemon: name, Lists: f.lists, Router: &sqentry.Router{Targets: f.known}, Gate: n.gate, Conns: pool, Calls: calls,
+		Daemon: name, Lists: f.lists, Router: newRouter(f.known), Gate: n.gate, Conns: pool, Calls: calls,
 		Charger: openCharger{}, Metrics: f.metric, Logger: logr.Discard(), Stopping: func() bool { return false },
 	}
 	server := sqpeer.NewServer()
@@ -100,6 +101,10 @@
 	return n
 }
 
+func newRouter(known *sqtarget.Directory) *sqentry.Router {
+	return &sqentry.Router{Targets: known, Route: new(sqroute.Router), Shed: new(sqshed.Table)}
+}
+
 // target starts a target of a service beside node i.
 func (f *fleet) target(i int, service sqid.ServiceID, h http.HandlerFunc) {
 	s := httptest.NewServer(h)
--- a/internal/edge/sqentry/attempt.go
+++ b/internal/edge/sqentry/attempt.go
@@ -25,17 +25,16 @@
 func (q *request) attempt(w http.ResponseWriter, t sqtarget.Row) *sqerror.Error {
 	a := &answer{w: w, control: http.NewResponseController(w), prepare: q.answerHeaders}
 	start := time.Now()
+	q.entry.Router.Route.Started(t.ID)
 	err := q.exchange(t, a)
 	refusal := q.outcome(t, a, err)
-	q.entry.Router.Ended(t.ID, time.Since(start), refusal, a.load)
-	if a.last {
-		q.credit = a.credit + q.held()
-	} else {
-		// The answer is lost, and the credit granted with the call as well.
-		q.credit = q.held()
-	}
+	q.entry.Router.ended(q, t.ID, time.Since(start), refusal, a.load)
+	q.settle(a, refusal)
 	switch {
 	case refusal == nil:
+		if len(q.tried) == 1 {
+			q.entry.Router.budget(q.service).Succeeded(start)
+		}
 		q.entry.Metrics.Calls.WithLabelValues(squnit.RunDone.String()).Inc()
 	case a.begun:
 		q.entry.Metrics.Calls.WithLabelValues(squnit.RunUnknown.String()).Inc()
@@ -44,6 +43,18 @@
 	return refusal
 }
 
+// settle brings the credit up to date: what a lost answer would have brought
+// back is lost, unless the call was certainly not run.
+func (q *request) settle(a *answer, refusal *sqerror.Error) {
+	granted := q.credit - q.held()
+	switch {
+	case a.last:
+		q.credit = q.held() + max(0, min(a.credit, granted))
+	case refusal == nil || refusal.Run != squnit.RunNot:
+		q.credit = q.held()
+	}
+}
+
 // held is the part of the credit that is not granted with a call, so that a
 // lost answer can be followed by one more attempt.
 func (q *request) held() squnit.Credit { return min(q.credit, 1) }
@@ -67,7 +78,8 @@
 		Importance: uint32(q.importance), Weight: float64(q.weight),
 		TimeLeftUs: time.Until(q.deadline).Microseconds(),
 		Credit:     int32(q.credit - q.held()), Depth: uint32(q.depth), NonIdempotent: q.nonIdempotent,
-		Root: q.root, ContentLength: q.contentLength, Entry: string(q.entry.Daemon), Operation: q.operation,
+		Share: float64(q.share),
+		Root:  q.root, ContentLength: q.contentLength, Entry: string(q.entry.Daemon), Operation: q.operation,
 	}
 }
 
--- a/internal/edge/sqentry/charge.go
+++ b/internal/edge/sqentry/charge.go
@@ -19,7 +19,7 @@
 
 // charge spends a caller's request; nested calls and open routes are free.
 func (q *request) charge(ctx context.Context) *sqerror.Error {
-	if q.parent != "" || q.workspace == "" {
+	if q.parent != nil || q.workspace == "" {
 		return nil
 	}
 	admitted, retryAfter, err := q.entry.Charger.Charge(ctx, q.workspace)
--- a/internal/edge/sqentry/entry.go
+++ b/internal/edge/sqentry/entry.go
@@ -105,8 +105,8 @@
 		e.refuse(w, refusal)
 		return
 	}
-	defer q.returnCredit()
-	stop := context.AfterFunc(q.parentContext, q.cancel)
+	defer q.end()
+	stop := context.AfterFunc(q.parent.Context, q.cancel)
 	defer stop()
 	q.serve(w, r)
 }
@@ -167,9 +167,9 @@
 	q := e.newRequest(r, service, path, deadline)
 	q.workspace, q.importance, q.weight = parent.Workspace, parent.Importance, parent.Weight
 	q.nonIdempotent = index.Nested(parent.Workspace, service, r.Method, path).NonIdempotent
-	q.depth, q.root = parent.Depth+1, parent.Root
-	q.parent, q.parentContext = parent.ID, parent.Context
-	q.credit = e.Calls.TakeCredit(parent.ID, parent.Credit)
+	q.depth, q.root, q.share = parent.Depth+1, parent.Root, parent.Share
+	q.parent, q.grant = parent, parent.Began(now)
+	q.credit = q.grant
 	return q, nil
 }
 
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -1,6 +1,7 @@
 package sqentry
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -13,6 +14,9 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqretry"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqshed"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
 )
@@ -42,19 +46,22 @@
 	credit        squnit.Credit
 	depth         squnit.Depth
 	root          string
+	share         squnit.Share
 	operation     string
 	headers       []*sqcallwire.Header
 	contentLength int64
 	body          *body
 
-	// parent is the call that a nested call is made for.
-	parent        sqid.CallID
-	parentContext context.Context
+	// parent is the call that a nested call is made for, and grant the part
+	// of its credit that came with it.
+	parent *sqcall.Call
+	grant  squnit.Credit
 
 	ctx      context.Context
 	cancel   context.CancelFunc
 	tried    []sqtarget.ID
 	reroutes int
+	sheds    int
 }
 
 func (e *Entry) newRequest(r *http.Request, s sqid.ServiceID, path string, deadline time.Time) *request {
@@ -89,6 +96,9 @@
 	if refusal := q.charge(q.ctx); refusal != nil {
 		return refusal
 	}
+	if refusal := q.shed(); refusal != nil {
+		return refusal
+	}
 	r.Body = http.MaxBytesReader(w, r.Body, int64(MaxBodyBytes))
 	b, err := readBody(r)
 	if err != nil {
@@ -111,10 +121,11 @@
 
 // attempts tries targets until one answers or a refusal stands.
 func (q *request) attempts(w http.ResponseWriter) *sqerror.Error {
+	var last *sqerror.Error
 	for {
-		target, reason := q.entry.Router.Pick(q)
+		target, reason := q.entry.Router.pick(q)
 		if reason != sqreason.NoReason {
-			return refuse(reason, nil)
+			return cmp.Or(last, refuse(reason, nil))
 		}
 		q.tried = append(q.tried, target.ID)
 		refusal := q.attempt(w, target)
@@ -124,41 +135,83 @@
 		if !q.retry(refusal) {
 			return refusal
 		}
+		last = refusal
 	}
 }
 
-// retry decides whether another attempt is made after a refusal.
+// retry decides whether another attempt is made after a refusal, and waits
+// for as long as it should be put off.
 func (q *request) retry(e *sqerror.Error) bool {
-	verdict := q.retryReason(e)
-	q.entry.Metrics.Retries.WithLabelValues(string(verdict)).Inc()
-	switch verdict {
-	case sqreason.RetryPeerDown:
-		q.reroutes++
+	if q.reroute(e) {
+		q.entry.Metrics.Retries.WithLabelValues(string(sqreason.RetryPeerDown)).Inc()
 		return true
-	case sqreason.RetryNotRun, sqreason.RetryIdempotent, sqreason.RetryShedOnce:
-		q.credit--
+	}
+	now := time.Now()
+	budget := q.entry.Router.budget(q.service)
+	if shedReason(e.Reason) {
+		q.sheds++
+	}
+	verdict := sqretry.Decide(newRand(), sqretry.Attempt{
+		NonIdempotent: q.nonIdempotent,
+		Run:           e.Run,
+		Reason:        e.Reason,
+		Tries:         len(q.tried) - q.reroutes,
+		Sheds:         q.sheds,
+		Left:          q.deadline.Sub(now),
+		Usual:         q.entry.Router.Route.Usual(q.service),
+		Credit:        q.credit,
+		Budget:        budget.Left(now),
+		ServiceSheds:  q.entry.Router.Route.Sheds(now, q.service),
+		OtherTarget:   len(q.entry.Router.Targets.Service(q.service)) > len(q.tried),
+		BodySpent:     !q.body.again(),
+	})
+	q.entry.Metrics.Retries.WithLabelValues(string(verdict.Reason)).Inc()
+	if !verdict.Retry || !budget.Take(now) {
+		return false
+	}
+	q.credit--
+	if !verdict.ElsewhereOnly {
+		q.tried = nil
+	}
+	return q.pause(verdict.Backoff)
+}
+
+// reroute reports whether a refusal only says that the target is leaving or
+// gone: another place is asked then at no credit, a bounded number of times.
+func (q *request) reroute(e *sqerror.Error) bool {
+	if e.Run != squnit.RunNot || !leaving(e.Reason) || q.reroutes >= maxReroutes || !q.body.again() {
+		return false
+	}
+	if q.ctx.Err() != nil || !time.Now().Before(q.deadline) {
+		return false
+	}
+	q.reroutes++
+	return true
+}
+
+// pause waits, and reports whether the request still stands after that.
+func (q *request) pause(d time.Duration) bool {
+	if d <= 0 {
 		return true
 	}
-	return false
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-q.ctx.Done():
+		return false
+	}
 }
 
-func (q *request) retryReason(e *sqerror.Error) sqreason.Retry {
-	switch {
-	case !q.body.again():
-		return sqreason.NoRetryBodySpent
-	case time.Until(q.deadline) <= 0 || q.ctx.Err() != nil:
-		return sqreason.NoRetryDeadline
-	case e.Run == squnit.RunNot && leaving(e.Reason) && q.reroutes < maxReroutes:
-		return sqreason.RetryPeerDown
-	case e.Run != squnit.RunNot && q.nonIdempotent:
-		return sqreason.NoRetryUncertain
-	case q.credit <= 0:
-		return sqreason.NoRetryCredit
-	case e.Run == squnit.RunNot:
-		return sqreason.RetryNotRun
-	default:
-		return sqreason.RetryIdempotent
+// shedReason reports whether a refusal says that a target is full.
+func shedReason(reason sqreason.Refusal) bool {
+	switch reason {
+	case sqreason.ShedQueueFull, sqreason.ShedImportance, sqreason.ShedFairness,
+		sqreason.ShedDeadline, sqreason.ShedByTarget:
+		return true
 	}
+	return false
 }
 
 // leaving reports whether a refusal says that a target is going, or gone.
@@ -171,9 +224,27 @@
 	return false
 }
 
-// returnCredit gives a nested call's unused credit back to its parent.
-func (q *request) returnCredit() {
-	q.entry.Calls.ReturnCredit(q.parent, max(q.credit, 0))
+// class is what the request's shedding is decided by.
+func (q *request) class() sqshed.Class {
+	return sqshed.Class{Service: q.service, Workspace: q.workspace, Importance: q.importance}
+}
+
+// shed refuses a request that the services have no room for.
+func (q *request) shed() *sqerror.Error {
+	if q.parent != nil {
+		return nil
+	}
+	d := q.entry.Router.Shed.Admit(time.Now(), newRand(), q.class())
+	q.share = d.Share
+	if !d.OK {
+		return refuse(d.Reason, nil)
+	}
+	return nil
+}
+
+// end gives a nested call's unused credit back to its parent.
+func (q *request) end() {
+	q.parent.Ended(time.Now(), q.grant, max(q.credit, 0))
 }
 
 func formatLength(n int64) string { return strconv.FormatInt(n, 10) }
--- a/internal/edge/sqentry/router.go
+++ b/internal/edge/sqentry/router.go
@@ -2,47 +2,119 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqtable"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqadmit"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqretry"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqroute"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqshed"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
 )
 
-// Router picks the target of each attempt.
+// Router is what a daemon's entry has learned of the services: which targets
+// there are, how they answer, and what they have room for.
 type Router struct {
 	// Targets are the targets known in the fleet.
-	Targets *sqtable.Table[sqtarget.ID, sqtarget.Row]
+	Targets *sqtarget.Directory
+	// Route chooses among a service's targets.
+	Route *sqroute.Router
+	// Shed knows which classes of requests the services have no room for.
+	Shed *sqshed.Table
+
+	budgets sqtable.Table[sqid.ServiceID, *sqretry.Budget]
 }
 
 // Known reports whether any target of the service is known.
 func (t *Router) Known(s sqid.ServiceID) bool {
-	found := false
-	t.Targets.Each(func(_ sqtarget.ID, row sqtarget.Row) bool {
-		found = row.Service == s
-		return !found
+	return len(t.Targets.Service(s)) > 0
+}
+
+// Tick forgets what has not been used for a while.
+func (t *Router) Tick(now time.Time) {
+	t.Route.Tick(now)
+	t.Shed.Tick(now)
+}
+
+// pick returns a target that the request has not tried yet.
+func (t *Router) pick(q *request) (sqtarget.Row, sqreason.Refusal) {
+	rows := t.Targets.Service(q.service)
+	c := t.Route.Pick(time.Now(), newRand(), rows, sqroute.Request{
+		Service: q.service, Importance: q.importance, Exclude: q.tried,
 	})
-	return found
+	return c.Row, c.Reason
 }
 
-// Pick returns a target that the request has not tried yet.
-func (t *Router) Pick(q *request) (sqtarget.Row, sqreason.Refusal) {
-	var rows []sqtarget.Row
-	t.Targets.Each(func(_ sqtarget.ID, row sqtarget.Row) bool {
-		if row.Service == q.service && !row.Draining && !slices.Contains(q.tried, row.ID) {
-			rows = append(rows, row)
+// budget returns the retry budget of the edge to a service.
+func (t *Router) budget(s sqid.ServiceID) *sqretry.Budget {
+	if b, ok := t.budgets.Get(s); ok {
+		return b
+	}
+	var budget *sqretry.Budget
+	t.budgets.Update(s, func(b *sqretry.Budget, ok bool) (*sqretry.Budget, bool) {
+		if !ok {
+			b = new(sqretry.Budget)
 		}
-		return true
+		budget = b
+		return b, true
 	})
-	if len(rows) == 0 {
-		return sqtarget.Row{}, sqreason.TargetNone
+	return budget
+}
+
+// ended learns from the end of an attempt.
+func (t *Router) ended(q *request, id sqtarget.ID, took time.Duration, refusal *sqerror.Error, l *sqcallwire.Load) {
+	now := time.Now()
+	t.Route.Ended(now, id, took, outcomeOf(refusal), loadOf(l))
+	if l == nil {
+		return
+	}
+	own := sqshed.Room{Service: q.service, Level: squnit.Importance(l.GetLevel()), Share: squnit.Share(1 - l.GetShed())}
+	deeper := roomsOf(l)
+	if q.parent != nil {
+		q.parent.Learned(own, deeper)
+		return
+	}
+	t.Shed.Learn(now, q.class(), own.Share, deeper)
+}
+
+func outcomeOf(refusal *sqerror.Error) sqadmit.Outcome {
+	switch {
+	case refusal == nil:
+		return sqadmit.OK
+	case refusal.Run == squnit.RunNot && !leaving(refusal.Reason):
+		return sqadmit.Shed
+	default:
+		return sqadmit.Failed
+	}
+}
+
+func loadOf(l *sqcallwire.Load) *sqadmit.Load {
+	if l == nil {
+		return nil
+	}
+	return &sqadmit.Load{
+		Level: squnit.Importance(l.GetLevel()), InFlight: int(l.GetInFlight()), Limit: int(l.GetLimit()),
+		Queued: int(l.GetQueued()), Usual: time.Duration(l.GetUsualUs()) * time.Microsecond,
+		Share: squnit.Share(1 - l.GetShed()),
 	}
-	return rows[rand.IntN(len(rows))], sqreason.NoReason
 }
 
-// Ended learns from the end of an attempt.
-func (t *Router) Ended(sqtarget.ID, time.Duration, *sqerror.Error, *sqcallwire.Load) {}
+func roomsOf(l *sqcallwire.Load) []sqshed.Room {
+	rooms := make([]sqshed.Room, 0, len(l.GetDeeper()))
+	for _, d := range l.GetDeeper() {
+		rooms = append(rooms, sqshed.Room{
+			Service: sqid.ServiceID(d.GetService()), Level: squnit.Importance(d.GetLevel()), Share: squnit.Share(1 - d.GetShed()),
+		})
+	}
+	return rooms
+}
+
+// newRand returns a source of its own for one decision.
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
--- a/internal/edge/sqgate/exchange.go
+++ b/internal/edge/sqgate/exchange.go
@@ -13,11 +13,12 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
-	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqpool"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqadmit"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
 )
 
@@ -51,7 +52,7 @@
 type exchange struct {
 	gate   *Gate
 	head   *sqcallwire.CallHead
-	call   sqid.CallID
+	call   *sqcall.Call
 	ticket *ticket
 	out    Sink
 
@@ -106,7 +107,7 @@
 	if _, ok := r.Header["User-Agent"]; !ok {
 		r.Header["User-Agent"] = nil
 	}
-	r.Header.Set(sqheader.Call, string(x.call))
+	r.Header.Set(sqheader.Call, string(x.call.ID))
 	r.Header.Set(sqheader.Workspace, x.head.GetWorkspace())
 	r.Header.Set(sqheader.Deadline, timeLeft(ctx))
 	return r, nil
@@ -150,9 +151,8 @@
 }
 
 func (x *exchange) fail(e *sqerror.Error, start time.Time) error {
-	x.ticket.leave(time.Since(start), outcomeOf(e))
-	row := x.gate.Calls.Close(x.call)
-	return x.gate.refuse(x.out, e, row.Credit, x.ticket.load())
+	x.leave(outcomeOf(e), start)
+	return x.gate.refuse(x.out, e, x.call.Credit(), x.load())
 }
 
 // answer passes the target's answer on. A short answer goes whole in one
@@ -182,7 +182,7 @@
 		}
 		frame = &sqcallwire.AnswerFrame{Body: buf[:n]}
 	}
-	return x.finish(frame, resp.StatusCode, start)
+	return x.finish(frame, start)
 }
 
 // Fill reads until buf is full or the body ends. Its error is the body's own:
@@ -199,22 +199,41 @@
 	return n, nil
 }
 
-func (x *exchange) finish(frame *sqcallwire.AnswerFrame, status int, start time.Time) error {
-	outcome := outcomeDone
-	if status >= http.StatusInternalServerError {
-		outcome = outcomeFailed
-	}
-	x.ticket.leave(time.Since(start), outcome)
-	row := x.gate.Calls.Close(x.call)
+func (x *exchange) finish(frame *sqcallwire.AnswerFrame, start time.Time) error {
+	x.leave(sqadmit.OK, start)
 	frame.Last = true
-	frame.Load = x.ticket.load()
-	frame.CreditLeft = int32(row.Credit)
+	frame.Load = x.load()
+	frame.CreditLeft = int32(x.call.Credit())
 	return x.out.Send(frame)
 }
 
 // cut ends an answer that has begun and can't be finished.
 func (x *exchange) cut(err error, start time.Time) error {
-	x.ticket.leave(time.Since(start), outcomeFailed)
-	x.gate.Calls.Close(x.call)
+	x.leave(sqadmit.Failed, start)
 	return sqerror.Uncertain(sqerror.StepTarget, sqreason.TargetBroken, err)
 }
+
+// leave ends the call: no nested call can be made for it from now on.
+func (x *exchange) leave(o sqadmit.Outcome, start time.Time) {
+	x.gate.Calls.Close(x.call.ID)
+	now := time.Now()
+	x.ticket.leave(sqadmit.Result{Outcome: o, Latency: now.Sub(start), Nested: x.call.NestedTime(now)})
+}
+
+func outcomeOf(e *sqerror.Error) sqadmit.Outcome {
+	if e.Reason == sqreason.ShedByTarget {
+		return sqadmit.Shed
+	}
+	return sqadmit.Failed
+}
+
+// load returns the target's state and that of the services below it.
+func (x *exchange) load() *sqcallwire.Load {
+	l := x.ticket.load()
+	for _, r := range x.call.Rooms() {
+		l.Deeper = append(l.Deeper, &sqcallwire.ServiceLevel{
+			Service: string(r.Service), Level: uint32(r.Level), Shed: float64(1 - r.Share),
+		})
+	}
+	return l
+}
--- a/internal/edge/sqgate/gate.go
+++ b/internal/edge/sqgate/gate.go
@@ -16,6 +16,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqadmit"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
 )
@@ -47,27 +48,41 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 
-	ticket, refusal := g.Targets.enter(ctx, head, deadline)
+	c := callOf(head, deadline)
+	ticket, refusal := g.Targets.enter(ctx, sqid.TargetID(head.GetTarget()), sqid.ServiceID(head.GetService()), c)
 	if refusal != nil {
 		return g.refuse(out, refusal, squnit.Credit(head.GetCredit()), ticket.load())
 	}
 	g.Metrics.QueueSeconds.Observe(ticket.waited.Seconds())
-	id := g.Calls.Open(sqcall.Row{
+	call := g.Calls.Open(sqcall.Row{
+		ID:         c.ID,
 		Root:       head.GetRoot(),
-		Workspace:  sqid.WorkspaceID(head.GetWorkspace()),
+		Workspace:  c.Workspace,
 		Service:    sqid.ServiceID(head.GetService()),
-		Target:     ticket.target,
-		Importance: squnit.Importance(head.GetImportance()),
-		Weight:     squnit.Weight(head.GetWeight()),
-		Depth:      squnit.Depth(head.GetDepth()),
+		Target:     sqid.TargetID(head.GetTarget()),
+		Importance: c.Importance,
+		Weight:     c.Weight,
+		Share:      c.Share,
+		Depth:      c.Depth,
 		Deadline:   deadline,
-		Credit:     squnit.Credit(head.GetCredit()),
 		Context:    ctx,
-	})
-	x := exchange{gate: g, head: head, call: id, ticket: ticket, out: out}
+	}, squnit.Credit(head.GetCredit()))
+	x := exchange{gate: g, head: head, call: call, ticket: ticket, out: out}
 	return x.run(ctx, body)
 }
 
+func callOf(head *sqcallwire.CallHead, deadline time.Time) sqadmit.Call {
+	return sqadmit.Call{
+		ID:         sqid.NewCallID(),
+		Workspace:  sqid.WorkspaceID(head.GetWorkspace()),
+		Weight:     squnit.Weight(head.GetWeight()),
+		Importance: squnit.Importance(head.GetImportance()),
+		Depth:      squnit.Depth(head.GetDepth()),
+		Deadline:   deadline,
+		Share:      squnit.Share(head.GetShare()),
+	}
+}
+
 // refuse answers in place of the target.
 func (g *Gate) refuse(out Sink, e *sqerror.Error, credit squnit.Credit, load *sqcallwire.Load) error {
 	e.Peer = g.Daemon
--- a/internal/edge/sqgate/targets.go
+++ b/internal/edge/sqgate/targets.go
@@ -12,7 +12,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqtable"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
-	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqadmit"
 )
 
 // RenewWithin is the time within which a target must announce itself again.
@@ -50,14 +50,17 @@
 type Targets struct {
 	// Listener may be nil.
 	Listener Listener
+	// NewAdmission makes the admission of a target; nil makes sqadmit's.
+	NewAdmission func() Admission
 
-	rows    sqtable.Table[sqid.TargetID, Local]
-	stopped chan struct{}
+	rows sqtable.Table[sqid.TargetID, Local]
 }
 
-// NewTargets returns an empty table.
-func NewTargets() *Targets {
-	return &Targets{stopped: make(chan struct{})}
+func (t *Targets) admission() Admission {
+	if t.NewAdmission != nil {
+		return t.NewAdmission()
+	}
+	return &sqadmit.Gate{}
 }
 
 // Announce adds or renews a target. A target that drains stays so until it is
@@ -69,10 +72,10 @@
 		if same {
 			l.Draining, l.door = row.Draining, row.door
 		} else {
-			l.door = newDoor(l, now)
+			l.door = newDoor(t.admission())
 		}
 		changed = !same || row.Slots != l.Slots
-		if changed {
+		if changed && !l.Draining {
 			l.door.resize(now, l.Slots)
 		}
 		l.Announced = now
@@ -95,7 +98,7 @@
 	if drained.door == nil {
 		return false
 	}
-	drained.door.close(sqreason.TargetDraining)
+	drained.door.close(time.Now())
 	t.tellChanged(drained)
 	return true
 }
@@ -106,7 +109,7 @@
 	if !ok {
 		return false
 	}
-	row.door.close(sqreason.TargetDraining)
+	row.door.close(time.Now())
 	if t.Listener != nil {
 		t.Listener.TargetRemoved(id)
 	}
@@ -161,15 +164,14 @@
 }
 
 // enter finds the call's target and waits at its door.
-func (t *Targets) enter(ctx context.Context, head *sqcallwire.CallHead, deadline time.Time) (*ticket, *sqerror.Error) {
-	row, ok := t.rows.Get(sqid.TargetID(head.GetTarget()))
-	if !ok || row.Service != sqid.ServiceID(head.GetService()) {
-		return nil, refuse(sqreason.TargetNone, errors.Errorf("no target %q here", head.GetTarget()))
-	}
-	if row.Draining {
-		return nil, refuse(sqreason.TargetDraining, nil)
+func (t *Targets) enter(ctx context.Context, id sqid.TargetID, s sqid.ServiceID, c sqadmit.Call) (*ticket, *sqerror.Error) {
+	row, ok := t.rows.Get(id)
+	if !ok || row.Service != s {
+		return nil, refuse(sqreason.TargetNone, errors.Errorf("no target %q of service %q here", id, s))
 	}
-	return row.door.enter(ctx, row, head, deadline)
+	ticket, refusal := row.door.enter(ctx, c)
+	ticket.address = row.Address
+	return ticket, refusal
 }
 
 func dialer(timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
--- a/internal/state/sqcall/call.go
+++ b/internal/state/sqcall/call.go
@@ -5,75 +5,121 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqtable"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqretry"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqshed"
 )
 
-// Row is one live call.
+// Row is what does not change in a live call.
 type Row struct {
 	ID        sqid.CallID
 	Root      string
 	Workspace sqid.WorkspaceID
 	Service   sqid.ServiceID
 	Target    sqid.TargetID
-	// Importance and Weight are those of the caller's request.
+	// Importance, Weight and Share are those of the caller's request.
 	Importance squnit.Importance
 	Weight     squnit.Weight
+	Share      squnit.Share
 	Depth      squnit.Depth
 	Deadline   time.Time
-	// Credit is what is left of the call's grant of extra attempts.
-	Credit squnit.Credit
 	// Context ends with the call; nested calls end with it.
 	Context context.Context
 }
 
+// Call is a live call: its row, and the ledger of its nested calls.
+type Call struct {
+	Row
+
+	mu          sync.Mutex
+	credit      sqretry.Credit
+	below       sqshed.Below
+	nested      int
+	nestedSince time.Time
+	nestedTime  time.Duration
+}
+
 // Table holds the live calls of a daemon. The zero value is ready.
 type Table struct {
-	rows sqtable.Table[sqid.CallID, Row]
+	rows sqtable.Table[sqid.CallID, *Call]
 }
 
-// Open adds a row under a new id, which it returns.
-func (t *Table) Open(row Row) sqid.CallID {
-	row.ID = sqid.NewCallID()
-	t.rows.Put(row.ID, row)
-	return row.ID
+// Open adds a call with a credit of extra attempts for it and all below it.
+func (t *Table) Open(row Row, credit squnit.Credit) *Call {
+	c := &Call{Row: row, credit: sqretry.NewCredit(credit)}
+	t.rows.Put(row.ID, c)
+	return c
 }
 
 // Get returns the live call with id.
-func (t *Table) Get(id sqid.CallID) (Row, bool) {
+func (t *Table) Get(id sqid.CallID) (*Call, bool) {
 	return t.rows.Get(id)
 }
 
-// Close removes a call and returns its last row.
-func (t *Table) Close(id sqid.CallID) Row {
-	row, _ := t.rows.Delete(id)
-	return row
+// Close removes a call.
+func (t *Table) Close(id sqid.CallID) {
+	t.rows.Delete(id)
 }
 
-// TakeCredit moves up to n of the call's credit to the taker and returns how
-// much it was; it is 0 for a call that has ended.
-func (t *Table) TakeCredit(id sqid.CallID, n squnit.Credit) squnit.Credit {
-	var taken squnit.Credit
-	t.rows.Update(id, func(row Row, ok bool) (Row, bool) {
-		taken = min(n, row.Credit)
-		row.Credit -= taken
-		return row, ok
-	})
-	return taken
+// Len returns the number of live calls.
+func (t *Table) Len() int {
+	return t.rows.Len()
 }
 
-// ReturnCredit gives back credit that was taken and not used.
-func (t *Table) ReturnCredit(id sqid.CallID, n squnit.Credit) {
-	t.rows.Update(id, func(row Row, ok bool) (Row, bool) {
-		row.Credit += n
-		return row, ok
-	})
+// Began counts a nested call and grants it a part of the credit.
+func (c *Call) Began(now time.Time) squnit.Credit {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.nested == 0 {
+		c.nestedSince = now
+	}
+	c.nested++
+	return c.credit.Grant(sqretry.GrantFor(c.credit.Left()))
 }
 
-// Len returns the number of live calls.
-func (t *Table) Len() int {
-	return t.rows.Len()
+// Ended ends a nested call that was granted a credit, of which rest is left.
+func (c *Call) Ended(now time.Time, grant, rest squnit.Credit) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.credit.Return(grant, rest)
+	c.nested--
+	if c.nested == 0 {
+		c.nestedTime += now.Sub(c.nestedSince)
+	}
+}
+
+// Learned takes the room that the answer to a nested call told of.
+func (c *Call) Learned(own sqshed.Room, deeper []sqshed.Room) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.below.Add(own, deeper)
+}
+
+// Credit returns the extra attempts that are left.
+func (c *Call) Credit() squnit.Credit {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.credit.Left()
+}
+
+// Rooms returns the rooms of the services below.
+func (c *Call) Rooms() []sqshed.Room {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.below.Rooms()
+}
+
+// NestedTime returns how long at least one nested call was under way.
+func (c *Call) NestedTime(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.nested > 0 {
+		return c.nestedTime + now.Sub(c.nestedSince)
+	}
+	return c.nestedTime
 }
