--- /dev/null
+++ b/internal/edge/sqgossip/seeds.go
@@ -0,0 +1,64 @@
+package sqgossip
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// firstWait is half of the time between the first two looks for seeds;
+	// it doubles up to aloneMost or healPeriod.
+	firstWait = 150 * time.Millisecond
+	// aloneMost is for a daemon that knows no other.
+	aloneMost = 8 * time.Second
+	// healPeriod is the time between two looks for daemons of a group that
+	// got separated.
+	healPeriod = 60 * time.Second
+	// seedsTimeout bounds one question for seeds.
+	seedsTimeout = 3 * time.Second
+)
+
+// Seeds has addresses at which other daemons may be found.
+type Seeds interface {
+	// Seeds returns peer addresses. It fails if they can't be had for now.
+	Seeds(ctx context.Context) ([]string, error)
+}
+
+// FixedSeeds are those of the settings.
+type FixedSeeds []string
+
+// Seeds returns the addresses.
+func (s FixedSeeds) Seeds(context.Context) ([]string, error) {
+	return s, nil
+}
+
+// seed joins those seeds that are not known: often at first and while the
+// daemon is alone, seldom later.
+func (t *Transport) seed(ctx context.Context) error {
+	wait := firstWait
+	for {
+		t.join(ctx)
+		most := healPeriod
+		if t.Member.Alone() {
+			most = aloneMost
+		}
+		wait = min(2*wait, most)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(jittered(wait)):
+		}
+	}
+}
+
+func (t *Transport) join(ctx context.Context) {
+	within, cancel := context.WithTimeout(ctx, seedsTimeout)
+	defer cancel()
+	for _, s := range t.Seeds {
+		addresses, err := s.Seeds(within)
+		if err != nil {
+			t.Logger.Info("find first peers", "error", err.Error())
+		}
+		t.send(ctx, t.Member.Join(time.Now(), t.Member.Strangers(addresses)))
+	}
+}
