--- a/internal/state/sqmember/member.go
+++ b/internal/state/sqmember/member.go
@@ -59,7 +59,7 @@
 	Rand *rand.Rand
 	// Targets has the targets of all live daemons, this one's included. The
 	// member alone writes to it.
-	Targets *sqtable.Table[sqtarget.ID, sqtarget.Row]
+	Targets *sqtarget.Directory
 	// Periods are the times of the protocol; zero fields have defaults.
 	Periods Periods
 	// Wake, if set, is called when Flush has something to return.
@@ -127,7 +127,7 @@
 	}
 	m.ready = true
 	if m.Targets == nil {
-		m.Targets = &sqtable.Table[sqtarget.ID, sqtarget.Row]{}
+		m.Targets = &sqtarget.Directory{}
 	}
 	m.Periods = m.Periods.withDefaults()
 	m.fleet = uint32(xxhash.Sum64String(m.Fleet + "\x00" + protocolVersion))
--- a/internal/state/sqmember/row.go
+++ b/internal/state/sqmember/row.go
@@ -7,7 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
-	"github.com/sequoiatack/sequoiatack/internal/base/sqtable"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqmemberwire"
@@ -159,7 +158,7 @@
 }
 
 // mirror changes targets from those of old to those of r.
-func (r Row) mirror(targets *sqtable.Table[sqtarget.ID, sqtarget.Row], old Row) {
+func (r Row) mirror(targets *sqtarget.Directory, old Row) {
 	if r.live() {
 		for _, t := range r.Targets {
 			row := r.target(t)
