--- /dev/null
+++ b/cmd/sequoiatack/daemon.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqlog"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqdaemon"
+)
+
+func newDaemon() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "daemon --settings FILE.toml",
+		Short: "Run one daemon",
+		Long: `Run one daemon until SIGTERM or SIGINT, which stop it gracefully.
+A second signal, or stopTimeout, ends what is still under way.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runDaemon(cmd.Context(), file)
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", "", "the settings file")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
+// runDaemon runs a daemon until ctx ends, which the first signal does.
+func runDaemon(ctx context.Context, file string) error {
+	cfg, err := sqsettings.Load(file)
+	if err != nil {
+		return err
+	}
+	log, err := sqlog.New(os.Stderr, cfg.Log.Level)
+	if err != nil {
+		return err
+	}
+	d := &sqdaemon.Daemon{Settings: cfg, Logger: log}
+	now, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	context.AfterFunc(ctx, func() { onSignal(now, cancel) })
+	return d.Run(ctx, now)
+}
+
+// onSignal calls f at the next signal, unless ctx ends before.
+func onSignal(ctx context.Context, f func()) {
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(again)
+	select {
+	case <-again:
+		f()
+	case <-ctx.Done():
+	}
+}
--- a/internal/base/sqreason/reason.go
+++ b/internal/base/sqreason/reason.go
@@ -40,6 +40,7 @@
 	OperationUnknown   Refusal = "operation-unknown"
 	OperationExpired   Refusal = "operation-expired"
 	OperationMismatch  Refusal = "operation-mismatch"
+	OperationBookFull  Refusal = "operation-book-full"
 	OperationHomeAway  Refusal = "operation-home-away"
 	Stopping           Refusal = "stopping"
 	DepthExceeded      Refusal = "depth-exceeded"
@@ -80,6 +81,7 @@
 	OperationUnknown:  http.StatusBadGateway,
 	OperationExpired:  http.StatusConflict,
 	OperationMismatch: http.StatusUnprocessableEntity,
+	OperationBookFull: http.StatusServiceUnavailable,
 	OperationHomeAway: http.StatusServiceUnavailable,
 	Stopping:          http.StatusServiceUnavailable,
 	DepthExceeded:     http.StatusLoopDetected,
--- a/internal/base/sqsettings/check.go
+++ b/internal/base/sqsettings/check.go
@@ -57,6 +57,7 @@
 	add("stopTimeout", checkPositive(s.StopTimeout))
 	add("staleListsAfter", checkNotNegative(s.StaleListsAfter))
 	add("log.level", checkLevel(s.Log.Level))
+	add("policy", checkPolicy(s.Policy))
 	add("(addresses)", s.checkDistinct())
 	return faults
 }
@@ -123,3 +124,11 @@
 	}
 	return errors.Errorf("%q is none of debug, info, warn, error", level)
 }
+
+func checkPolicy(p Policy) error {
+	switch p {
+	case PolicyFull, PolicyFixed, PolicyNone:
+		return nil
+	}
+	return errors.Errorf("%q is none of full, fixed, none", p)
+}
--- a/internal/base/sqsettings/settings.go
+++ b/internal/base/sqsettings/settings.go
@@ -32,8 +32,24 @@
 	StopTimeout       Span              `toml:"stopTimeout"`
 	StaleListsAfter   Span              `toml:"staleListsAfter"`
 	Log               Log               `toml:"log"`
+	// Policy is what decides under load; the naive ones are for comparison.
+	Policy Policy `toml:"policy"`
 }
 
+// Policy names what decides under load.
+type Policy string
+
+// The policies.
+const (
+	// PolicyFull is the product's own.
+	PolicyFull Policy = "full"
+	// PolicyFixed limits each target to its announced slots, in order of
+	// arrival, and retries without a budget.
+	PolicyFixed Policy = "fixed"
+	// PolicyNone has no limits at targets.
+	PolicyNone Policy = "none"
+)
+
 // Log are the settings of the log.
 type Log struct {
 	Level string `toml:"level"`
@@ -64,7 +80,7 @@
 
 // Defaults returns the settings that hold where a file says nothing.
 func Defaults() Settings {
-	return Settings{StopTimeout: Span(defaultStopTimeout), Log: Log{Level: defaultLogLevel}}
+	return Settings{StopTimeout: Span(defaultStopTimeout), Log: Log{Level: defaultLogLevel}, Policy: PolicyFull}
 }
 
 // Fault is one thing that is wrong with a file.
--- /dev/null
+++ b/internal/edge/sqclaim/convert.go
@@ -0,0 +1,72 @@
+package sqclaim
+
+import (
+	"time"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqoperation"
+	"github.com/sequoiatack/sequoiatack/internal/wire/sqclaimwire"
+)
+
+func claimOf(req *sqclaimwire.ClaimRequest, now time.Time) sqoperation.Claim {
+	return sqoperation.Claim{
+		Key:         keyOf(req.GetKey()),
+		Fingerprint: sqoperation.Fingerprint(req.GetFingerprint()),
+		Token:       sqoperation.Token(req.GetToken()),
+		Deadline:    now.Add(min(time.Duration(req.GetTimeLeftUs())*time.Microsecond, MaxTimeout)),
+		Minted:      sqid.Epoch(req.GetMinted()),
+	}
+}
+
+func keyOf(k *sqclaimwire.Key) sqoperation.Key {
+	return sqoperation.Key{Workspace: sqid.WorkspaceID(k.GetWorkspace()), Text: k.GetText()}
+}
+
+func keyToWire(k sqoperation.Key) *sqclaimwire.Key {
+	return &sqclaimwire.Key{Workspace: string(k.Workspace), Text: k.Text}
+}
+
+func entryOf(e *sqclaimwire.Entry, now time.Time) sqoperation.Entry {
+	return sqoperation.Entry{
+		Key:         keyOf(e.GetKey()),
+		Fingerprint: sqoperation.Fingerprint(e.GetFingerprint()),
+		Token:       sqoperation.Token(e.GetToken()),
+		Deadline:    now.Add(time.Duration(e.GetDeadlineInUs()) * time.Microsecond),
+		Claimed:     now,
+		Running:     e.GetRunning(),
+		Answer:      answerOf(e.GetAnswer()),
+	}
+}
+
+func entryToWire(e sqoperation.Entry, now time.Time) *sqclaimwire.Entry {
+	return &sqclaimwire.Entry{
+		Key:          keyToWire(e.Key),
+		Fingerprint:  uint64(e.Fingerprint),
+		Token:        uint64(e.Token),
+		DeadlineInUs: e.Deadline.Sub(now).Microseconds(),
+		Running:      e.Running,
+		Answer:       answerToWire(e.Answer),
+	}
+}
+
+func answerOf(a *sqclaimwire.Answer) *sqoperation.Answer {
+	if a == nil {
+		return nil
+	}
+	out := &sqoperation.Answer{Status: int(a.GetStatus()), Body: a.GetBody()}
+	for _, h := range a.GetHeaders() {
+		out.Headers = append(out.Headers, sqoperation.Header{Name: h.GetName(), Value: h.GetValue()})
+	}
+	return out
+}
+
+func answerToWire(a *sqoperation.Answer) *sqclaimwire.Answer {
+	if a == nil {
+		return nil
+	}
+	out := &sqclaimwire.Answer{Status: uint32(a.Status), Body: a.Body}
+	for _, h := range a.Headers {
+		out.Headers = append(out.Headers, &sqclaimwire.Header{Name: h.Name, Value: h.Value})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/edge/sqdaemon/adapt.go
@@ -0,0 +1,91 @@
+package sqdaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqledger"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqmember"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
+)
+
+// members gives the ledger the members that may keep shards.
+type members struct{ m *sqmember.Member }
+
+// Alive returns the daemons of a data centre that are alive.
+func (a members) Alive(dc sqid.DataCentreID) []sqkeeper.Member {
+	var alive []sqkeeper.Member
+	for _, r := range a.m.Alive(dc) {
+		alive = append(alive, sqkeeper.Member{Daemon: r.ID, Incarnation: r.Incarnation, PeerAddress: r.PeerAddress})
+	}
+	return alive
+}
+
+// facts spreads values by the membership.
+type facts struct{ d *Daemon }
+
+// Publish spreads a value.
+func (f facts) Publish(name string, version uint64, body []byte) {
+	f.d.publish(name, version, body)
+}
+
+// OnFact subscribes to a value.
+func (f facts) OnFact(name string, fn func(version uint64, body []byte)) {
+	f.d.member.OnFact(name, fn)
+}
+
+func (d *Daemon) publish(name string, version uint64, body []byte) {
+	if _, err := d.member.Publish(name, version, body); err != nil {
+		d.Logger.Error(err, "value was not spread", "name", name, "version", version)
+	}
+}
+
+// spread tells the fleet of the local targets.
+type spread struct{ d *Daemon }
+
+// TargetChanged spreads a target's row.
+func (s spread) TargetChanged(t sqgate.Local) {
+	set := &s.d.Settings
+	err := s.d.member.SetTarget(sqtarget.Row{
+		ID: sqtarget.ID{Daemon: set.DaemonName, Target: t.ID}, Service: t.Service, Slots: t.Slots, Draining: t.Draining,
+		DataCentre: set.DataCentre, Region: set.Region, PeerAddress: set.PeerAddress, Incarnation: s.d.incarnation,
+	})
+	if err != nil {
+		s.d.Logger.Error(err, "target was not spread", "target", t.ID)
+	}
+}
+
+// TargetRemoved spreads that a target has gone.
+func (s spread) TargetRemoved(id sqid.TargetID) {
+	s.d.member.RemoveTarget(id)
+}
+
+// lists gives the entry the lists in force.
+type lists struct{ d *Daemon }
+
+// Index returns the index of the lists, nil before any are known.
+func (l lists) Index() *sqlists.Index {
+	if l.d.holder.Revision() == 0 {
+		return nil
+	}
+	return l.d.holder.Index()
+}
+
+// Stale reports whether the lists are too old to serve by.
+func (l lists) Stale(now time.Time) bool {
+	limit := time.Duration(l.d.Settings.StaleListsAfter)
+	return sqlists.Stale(l.d.holder.Confirmed(), now, limit)
+}
+
+// charger spends by the ledger.
+type charger struct{ l *sqledger.Ledger }
+
+// Charge spends one request.
+func (c charger) Charge(ctx context.Context, w sqid.WorkspaceID) (bool, time.Duration, error) {
+	d, err := c.l.Charge(ctx, w)
+	return d.Admitted, d.RetryAfter, err
+}
--- /dev/null
+++ b/internal/edge/sqdaemon/build.go
@@ -0,0 +1,135 @@
+package sqdaemon
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqentry"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqgossip"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqledger"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqlocal"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqpeer"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqadmit"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqnaive"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqroute"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqshed"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqmember"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
+)
+
+const (
+	fleetName   = "sequoiatack"
+	targetsTick = 20 * time.Millisecond
+	routerTick  = time.Second
+)
+
+// build makes the parts and subscribes the systems to the timer.
+func (d *Daemon) build() error {
+	d.incarnation = sqid.Incarnation(time.Now().UnixMilli())
+	d.metrics = sqmetric.New()
+	d.pool = new(sqpeer.Pool)
+	d.platform = &sqplatform.Client{Addresses: d.Settings.PlatformAddresses, Metrics: d.metrics, Logger: d.Logger}
+	d.fleet = new(sqtarget.Directory)
+	d.calls = new(sqcall.Table)
+	d.buildMember()
+	d.buildLists()
+	d.buildLedger()
+	d.buildPath()
+	d.buildPeers()
+	return nil
+}
+
+func (d *Daemon) buildMember() {
+	s := &d.Settings
+	d.member = &sqmember.Member{
+		Fleet: fleetName,
+		Local: sqmember.Row{
+			ID: s.DaemonName, DataCentre: s.DataCentre, Region: s.Region,
+			CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress, Incarnation: d.incarnation,
+		},
+		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Targets: d.fleet,
+		OnReplaced: func(other sqmember.Row) {
+			d.Logger.Error(nil, "another daemon uses this daemon's name", "peerAddress", other.PeerAddress)
+		},
+	}
+	d.gossip = &sqgossip.Transport{
+		Address: s.PeerAddress, Member: d.member, Pool: d.pool, Metrics: d.metrics, Logger: d.Logger,
+	}
+	d.member.Wake = d.gossip.Wake
+	d.seeds = &sqgossip.Seeding{Member: d.member, Store: d.platform, Logger: d.Logger}
+	d.gossip.Seeds = []sqgossip.Seeds{sqgossip.FixedSeeds(s.SeedPeers), d.seeds}
+}
+
+func (d *Daemon) buildLists() {
+	d.holder = &sqlists.Holder{Logger: d.Logger, Metrics: d.metrics}
+	d.acceptor = &sqlists.Acceptor{
+		Store: d.platform, Holder: d.holder, Logger: d.Logger,
+		Publish: func(version uint64, body []byte) { d.publish(sqlists.FactLists, version, body) },
+	}
+	d.follower = &sqlists.Follower{
+		Store: d.platform, Holder: d.holder, Logger: d.Logger,
+		Watching: d.member.Watcher, Publish: d.publish, Repair: d.acceptor.Repair,
+	}
+	d.member.OnFact(sqlists.FactLists, d.holder.ApplyFact)
+	d.member.OnFact(sqlists.FactEvidence, d.holder.ApplyEvidence)
+}
+
+func (d *Daemon) buildLedger() {
+	s := &d.Settings
+	d.ledger = &sqledger.Ledger{
+		Self:       sqkeeper.Member{Daemon: s.DaemonName, Incarnation: d.incarnation, PeerAddress: s.PeerAddress},
+		DataCentre: s.DataCentre, Store: d.platform, Conn: d.pool,
+		Members: members{d.member}, Plans: d.holder, Facts: facts{d}, Metrics: d.metrics, Log: d.Logger,
+	}
+	d.timer.Subscribe(sqledger.TickPeriod, d.ledger)
+}
+
+func (d *Daemon) buildPath() {
+	s := &d.Settings
+	d.targets = &sqgate.Targets{Listener: spread{d}, NewAdmission: newAdmission(s.Policy)}
+	d.gate = &sqgate.Gate{
+		Daemon: s.DaemonName, Targets: d.targets, Calls: d.calls, Metrics: d.metrics, Logger: d.Logger,
+		Transport: sqgate.NewTransport(),
+	}
+	router := &sqentry.Router{
+		Targets: d.fleet,
+		Route:   &sqroute.Router{DataCentre: s.DataCentre, Region: s.Region},
+		Shed:    new(sqshed.Table),
+	}
+	d.entry = &sqentry.Entry{
+		Daemon: s.DaemonName, Lists: lists{d}, Router: router, Gate: d.gate, Conns: d.pool, Calls: d.calls,
+		Charger: charger{d.ledger}, Metrics: d.metrics, Logger: d.Logger, Stopping: d.stopping.Load,
+	}
+	d.timer.Subscribe(targetsTick, d.targets)
+	d.timer.Subscribe(routerTick, router)
+}
+
+func (d *Daemon) buildPeers() {
+	d.peers = sqpeer.NewServer()
+	(&sqgate.Server{Gate: d.gate}).Register(d.peers)
+	d.gossip.Register(d.peers)
+	d.ledger.Register(d.peers)
+}
+
+func (d *Daemon) localHandler() http.Handler {
+	s := &sqlocal.Server{Daemon: d.Settings.DaemonName, Targets: d.targets, Nested: d.entry.Nested()}
+	return s.Handler()
+}
+
+// newAdmission returns how a target's admission is made.
+func newAdmission(p sqsettings.Policy) func() sqgate.Admission {
+	if p == sqsettings.PolicyFull {
+		return func() sqgate.Admission { return new(sqadmit.Gate) }
+	}
+	return func() sqgate.Admission { return &sqnaive.Admission{Unlimited: p == sqsettings.PolicyNone} }
+}
--- /dev/null
+++ b/internal/edge/sqdaemon/daemon.go
@@ -0,0 +1,133 @@
+package sqdaemon
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqtimer"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqentry"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqgossip"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqledger"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqpeer"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqmember"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
+)
+
+// Daemon is one daemon of the fleet.
+type Daemon struct {
+	Settings sqsettings.Settings
+	Logger   logr.Logger
+
+	incarnation sqid.Incarnation
+	metrics     *sqmetric.Set
+	timer       sqtimer.Service
+	stopping    atomic.Bool
+
+	platform *sqplatform.Client
+	pool     *sqpeer.Pool
+	holder   *sqlists.Holder
+	follower *sqlists.Follower
+	acceptor *sqlists.Acceptor
+	member   *sqmember.Member
+	gossip   *sqgossip.Transport
+	seeds    *sqgossip.Seeding
+	ledger   *sqledger.Ledger
+	targets  *sqgate.Targets
+	fleet    *sqtarget.Directory
+	calls    *sqcall.Table
+	gate     *sqgate.Gate
+	entry    *sqentry.Entry
+
+	peers        *grpc.Server
+	peerListener net.Listener
+	callers      *endpoint
+	local        *endpoint
+	admin        *endpoint
+}
+
+// Run serves until ctx ends and then stops gracefully: its error is nil if no
+// request was cut. A second end, that of now, cuts what is still under way.
+func (d *Daemon) Run(ctx, now context.Context) error {
+	if err := d.build(); err != nil {
+		return err
+	}
+	defer d.pool.Close()
+	defer d.platform.Close()
+	if err := d.listen(); err != nil {
+		return err
+	}
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g, run := errgroup.WithContext(run)
+	d.start(run, g)
+	d.Logger.Info("serving", "daemon", d.Settings.DaemonName, "dataCentre", d.Settings.DataCentre,
+		"incarnation", d.incarnation, "pid", os.Getpid())
+	select {
+	case <-ctx.Done():
+	case <-run.Done():
+		return g.Wait()
+	}
+	cut := d.stop(now)
+	cancel()
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	return cut
+}
+
+// start runs the parts until run ends.
+func (d *Daemon) start(run context.Context, g *errgroup.Group) {
+	g.Go(func() error { return d.timer.Run(run) })
+	g.Go(func() error { return d.gossip.Run(run) })
+	g.Go(func() error { return d.seeds.Run(run) })
+	g.Go(func() error { return d.follower.Run(run) })
+	g.Go(func() error { return d.ledger.Run(run) })
+	g.Go(func() error { return errors.Wrap(d.peers.Serve(d.peerListener), "serve peers") })
+	for _, e := range []*endpoint{d.callers, d.local, d.admin} {
+		g.Go(e.serve)
+	}
+}
+
+// listen binds every address before anything is served.
+func (d *Daemon) listen() error {
+	var err error
+	if d.peerListener, err = net.Listen("tcp", d.Settings.PeerAddress); err != nil {
+		return errors.Wrap(err, "listen on peerAddress")
+	}
+	if d.callers, err = listen("callerAddress", d.Settings.CallerAddress, withoutPanic(d.entry.Callers(), d.Logger)); err != nil {
+		return err
+	}
+	if d.local, err = listen("localAddress", d.Settings.LocalAddress, withoutPanic(d.localHandler(), d.Logger)); err != nil {
+		return err
+	}
+	d.admin, err = listen("adminAddress", d.Settings.AdminAddress, withoutPanic(d.adminHandler(), d.Logger))
+	return err
+}
+
+// ready returns why the daemon does not serve callers now, nil if it does.
+func (d *Daemon) ready() error {
+	switch {
+	case d.stopping.Load():
+		return errors.New("stopping")
+	case d.holder.Revision() == 0:
+		return errors.New("no lists are known yet")
+	case (lists{d}).Stale(time.Now()):
+		return errors.New("lists are stale")
+	}
+	return nil
+}
--- a/internal/policy/sqoperation/book.go
+++ b/internal/policy/sqoperation/book.go
@@ -24,15 +24,20 @@
 // Fingerprint tells requests that use one key apart.
 type Fingerprint uint64
 
-// Token names one grant of a claim; only its holder may finish it.
+// Token names one claim; it is random and made by the entry that claims. A
+// claim that is sent again with its token gets the same decision, so that a
+// lost answer costs nothing, and only its holder may finish it.
 type Token uint64
 
 // Claim asks to run an operation.
 type Claim struct {
 	Key         Key
 	Fingerprint Fingerprint
+	Token       Token
 	// Deadline is when the run is over, whatever comes of it.
 	Deadline time.Time
+	// Minted is the epoch that a minted key names, 0 for a caller's own key.
+	Minted sqid.Epoch
 }
 
 // Verdict is the book's decision on a claim.
@@ -77,8 +82,6 @@
 // Decision is a verdict with what belongs to it.
 type Decision struct {
 	Verdict Verdict
-	// Token is set with Granted.
-	Token Token
 	// Answer is set with Replay.
 	Answer *Answer
 }
@@ -124,13 +127,14 @@
 	MaxEntries int
 	MaxBytes   squnit.Bytes
 	// CompleteSince is when the book has known every claim of the shard
-	// from; the zero time says always. Until a horizon later, a key that
-	// the book does not know may have run.
+	// from, and CompleteEpoch the epoch of that time; the zero values say
+	// always. Until a horizon later, a key that the book does not know may
+	// have run, unless it was minted in that epoch or after it.
 	CompleteSince time.Time
+	CompleteEpoch sqid.Epoch
 
 	entries map[Key]*Entry
 	bytes   squnit.Bytes
-	tokens  Token
 }
 
 // Claim decides on c. A grant is in the book from then on.
@@ -139,17 +143,24 @@
 		return e.decide(now, c)
 	}
 	switch {
-	case !b.CompleteSince.IsZero() && now.Before(b.CompleteSince.Add(b.Horizon)):
+	case !b.complete(now, c.Minted):
 		return Decision{Verdict: Uncertain}
 	case len(b.entries) >= b.MaxEntries || b.bytes >= b.MaxBytes:
 		return Decision{Verdict: Full}
 	}
-	b.tokens++
 	b.Put(Entry{
-		Key: c.Key, Fingerprint: c.Fingerprint, Token: b.tokens,
+		Key: c.Key, Fingerprint: c.Fingerprint, Token: c.Token,
 		Deadline: c.Deadline, Claimed: now, Running: true,
 	})
-	return Decision{Verdict: Granted, Token: b.tokens}
+	return Decision{Verdict: Granted}
+}
+
+// complete reports whether a key that the book does not know has not run.
+func (b *Book) complete(now time.Time, minted sqid.Epoch) bool {
+	if b.CompleteSince.IsZero() || now.After(b.CompleteSince.Add(b.Horizon)) {
+		return true
+	}
+	return minted != 0 && minted >= b.CompleteEpoch
 }
 
 func (e *Entry) decide(now time.Time, c Claim) Decision {
@@ -160,6 +171,9 @@
 	case stateFinished:
 		return Decision{Verdict: Replay, Answer: e.Answer}
 	case stateRunning:
+		if e.Token == c.Token {
+			return Decision{Verdict: Granted}
+		}
 		return Decision{Verdict: Running}
 	default:
 		return Decision{Verdict: Uncertain}
@@ -196,7 +210,6 @@
 	}
 	b.entries[e.Key] = &e
 	b.bytes += e.size()
-	b.tokens = max(b.tokens, e.Token)
 }
 
 // Remove forgets an operation that another book has freed.
