--- a/cmd/sequoia-standin/main.go
+++ b/cmd/sequoia-standin/main.go
@@ -14,6 +14,7 @@
 
 // subcommands lists what the program can do, each from a file of its own.
 var subcommands = []func() *cobra.Command{
+	newPlatform,
 	newTarget,
 	newLoad,
 }
--- a/internal/base/sqreason/reason.go
+++ b/internal/base/sqreason/reason.go
@@ -119,6 +119,7 @@
 	NoRetryServiceShed  Retry = "service-shed"
 	NoRetryNoOtherPlace Retry = "no-other-target"
 	NoRetryBodySpent    Retry = "body-spent"
+	NoRetryFinal        Retry = "final"
 )
 
 // Retries returns every reason of the vocabulary.
@@ -126,6 +127,6 @@
 	return []Retry{
 		RetryNotRun, RetryIdempotent, RetryPeerDown, RetryShedOnce,
 		NoRetryCredit, NoRetryBudget, NoRetryDeadline, NoRetryUncertain,
-		NoRetryServiceShed, NoRetryNoOtherPlace, NoRetryBodySpent,
+		NoRetryServiceShed, NoRetryNoOtherPlace, NoRetryBodySpent, NoRetryFinal,
 	}
 }
