--- a/cmd/sequoia-standin/main.go
+++ b/cmd/sequoia-standin/main.go
@@ -17,6 +17,7 @@
 	newPlatform,
 	newTarget,
 	newLoad,
+	newDemo,
 }
 
 func main() {
--- a/internal/standin/sqload/attempt.go
+++ b/internal/standin/sqload/attempt.go
@@ -7,8 +7,11 @@
 	"io"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 	"github.com/sequoiatack/sequoiatack/internal/standin/sqtargetstand"
 )
@@ -46,6 +49,8 @@
 	Replayed bool `json:"replayed,omitempty"`
 	// InRate is whether the workspace was inside its plan's rate at the send.
 	InRate bool `json:"inRate,omitempty"`
+	// Unsent attempts found nobody listening.
+	Unsent bool `json:"unsent,omitempty"`
 	// Err is the client's error.
 	Err string `json:"err,omitempty"`
 }
@@ -73,6 +78,7 @@
 	resp, err := s.client.Do(req)
 	if err != nil {
 		a.Err, a.Ended = err.Error(), time.Now().UnixNano()
+		a.Unsent = errors.Is(err, syscall.ECONNREFUSED)
 		return a
 	}
 	defer resp.Body.Close()
--- a/internal/standin/sqverify/rate.go
+++ b/internal/standin/sqverify/rate.go
@@ -37,9 +37,9 @@
 	return out
 }
 
-// unused keeps a window's end out of the maximum until an admission that the
+// inactive keeps a window's end out of the maximum until an admission that the
 // window contains ends there.
-const unused = 1e9
+const inactive = 1e9
 
 // WorstExcess returns the largest number of requests by which the admissions
 // of any window exceed burst + rate * window; at most 0 holds. An admission
@@ -55,7 +55,7 @@
 	tree := newMaxTree(len(byEnd))
 	for i, a := range byEnd {
 		rank[a] = append(rank[a], i)
-		tree.add(i, i, -unused-float64(rate)*time.Duration(a.To-origin).Seconds())
+		tree.add(i, i, -inactive-float64(rate)*time.Duration(a.To-origin).Seconds())
 	}
 	byStart := slices.Clone(all)
 	slices.SortFunc(byStart, func(a, b Admission) int { return cmp.Compare(b.From, a.From) })
@@ -63,7 +63,7 @@
 	for i, a := range byStart {
 		at := rank[a][0]
 		rank[a] = rank[a][1:]
-		tree.add(at, at, unused)
+		tree.add(at, at, inactive)
 		tree.add(at, len(byEnd)-1, 1)
 		if i+1 < len(byStart) && byStart[i+1].From == a.From {
 			continue
