Add scripted experiments with real fleets, latency and fleet measurements

Capacity comes from the slots of the busiest service and the time that a request held them before the cause, measured in the run itself: a figure worked out from service times alone would leave out what nested calls take.

Recovery is counted from the share of scheduled requests answered whole, not from a count of answers, which with Poisson arrivals swings by more than 5% in half a second.

Cutting the regions and a narrow link are not scripted: nothing on loopback tells who dials a peer address, and shaping needs rights that a test should not ask for.

--- a/cmd/sequoia-standin/main.go
+++ b/cmd/sequoia-standin/main.go
@@ -18,6 +18,7 @@
 	newTarget,
 	newLoad,
 	newDemo,
+	newExperiment,
 }
 
 func main() {
--- /dev/null
+++ b/internal/standin/sqexperiment/figures.go
@@ -0,0 +1,203 @@
+package sqexperiment
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/standin/sqload"
+	"github.com/sequoiatack/sequoiatack/internal/standin/sqverify"
+)
+
+// Figures are what one run measured. Goodput is in whole requests a second,
+// shares are from 0 to 1.
+type Figures struct {
+	// Capacity is what the busiest service could carry, from its slots and
+	// the time that its runs took before the cause.
+	Capacity float64 `json:"capacity"`
+	// Before, During and After are the goodput before the cause, while it
+	// holds, and from one second after its end.
+	Before float64 `json:"before"`
+	During float64 `json:"during"`
+	After  float64 `json:"after"`
+	// DuringShare is During by what could be had: the smaller of what is
+	// left of Capacity and the requests offered.
+	DuringShare float64 `json:"duringShare"`
+	// Recovery is in seconds, infinite (-1) if the fleet did not recover.
+	Recovery float64 `json:"recovery"`
+	// WorstShare is the share served of the worst-served workspace that does
+	// not surge, over the cause.
+	WorstShare float64 `json:"worstShare"`
+	// CriticalShare is the share served of critical requests over the cause.
+	CriticalShare float64 `json:"criticalShare"`
+	// CriticalLost counts critical requests lost while low ones, scheduled in
+	// the same tenth of a second, were served.
+	CriticalLost int `json:"criticalLost"`
+	// WronglyRefused is the part of the attempts inside the rate that were
+	// refused for rate.
+	WronglyRefused float64 `json:"wronglyRefused"`
+	// WorstExcess is the largest excess over any plan's rate and burst, in
+	// requests; at most 0 holds.
+	WorstExcess float64 `json:"worstExcess"`
+	// Wasted is the part of the targets' work for requests that failed.
+	Wasted float64 `json:"wasted"`
+	// Deepest is the number of calls at the deepest service for each request
+	// that was admitted, Sends that of the clients' sends for each request.
+	Deepest float64 `json:"deepest"`
+	Sends   float64 `json:"sends"`
+	// Violations counts what must never be, by kind.
+	Violations map[string]int `json:"violations"`
+	NotSent    int            `json:"notSent"`
+}
+
+func (f *File) figures(e *sqverify.Evidence, result *sqload.Result) Figures {
+	at := func(s time.Duration) int64 { return result.Start + int64(s) }
+	from, end := time.Duration(f.CauseFrom), time.Duration(f.CauseFrom+f.CauseFor)
+	before := sqverify.Span{From: at(0), To: at(from)}
+	cause := sqverify.Span{From: at(from), To: at(end)}
+	after := sqverify.Span{From: at(end + time.Second), To: at(time.Duration(f.Duration))}
+	out := Figures{
+		Capacity: f.capacity(e, before),
+		Before:   e.Goodput(before), During: e.Goodput(cause), After: e.Goodput(after),
+		Recovery: -1, WorstShare: f.worstShare(e, cause), CriticalLost: criticalLost(e, cause),
+		WorstExcess: f.worstExcess(e), Wasted: e.Wasted(f.weights()),
+		Deepest: e.Attempts(f.entryService(), f.deepestService()), NotSent: result.NotSent,
+		Violations: violations(e),
+	}
+	offered := float64(e.Served(cause, nil).Requests) / cause.Seconds()
+	out.DuringShare = out.During / min(out.Capacity*f.causeCapacity(), offered)
+	critical := e.Served(cause, func(s *sqload.Sample) bool { return s.Importance == squnit.ImportanceCritical })
+	out.CriticalShare = critical.Share()
+	if took, ok := e.Recovery(before, cause.To, after.To); ok {
+		out.Recovery = took.Seconds()
+	}
+	if n := result.All.InRate; n > 0 {
+		out.WronglyRefused = float64(result.All.RefusedInRate) / float64(n)
+	}
+	if n := result.All.Requests; n > 0 {
+		out.Sends = float64(result.All.Attempts) / float64(n)
+	}
+	return out
+}
+
+func (f *File) causeCapacity() float64 {
+	if f.CauseCapacity == 0 {
+		return 1
+	}
+	return f.CauseCapacity
+}
+
+// capacity is in whole requests a second: for each service its slots by the
+// time that one request holds them, the least of all.
+func (f *File) capacity(e *sqverify.Evidence, span sqverify.Span) float64 {
+	least := math.Inf(1)
+	centres := f.Fleet.Regions * f.Fleet.DataCentres
+	for _, s := range f.Fleet.Services {
+		held := 0.0
+		requests := make(map[string]bool)
+		for _, r := range e.Runs[s.Name] {
+			if r.Ended > 0 && r.Started > 0 && span.Contains(r.Started) {
+				held += time.Duration(r.Ended - r.Started).Seconds()
+				requests[r.RequestID] = true
+			}
+		}
+		if held > 0 {
+			slots := float64(centres*s.Instances) * float64(s.Slots)
+			least = min(least, slots*float64(len(requests))/held)
+		}
+	}
+	return least
+}
+
+func (f *File) worstShare(e *sqverify.Evidence, span sqverify.Span) float64 {
+	worst := 1.0
+	for _, w := range f.Workspaces {
+		if w.Surges {
+			continue
+		}
+		served := e.Served(span, func(s *sqload.Sample) bool { return s.Workspace == w.Name })
+		worst = min(worst, served.Share())
+	}
+	return worst
+}
+
+func (f *File) worstExcess(e *sqverify.Evidence) float64 {
+	worst := math.Inf(-1)
+	for _, w := range f.Workspaces {
+		worst = max(worst, sqverify.WorstExcess(e.Admissions(w.Name), w.PlanRate, w.PlanBurst))
+	}
+	return worst
+}
+
+func criticalLost(e *sqverify.Evidence, span sqverify.Span) int {
+	type bin struct{ lost, lowServed int }
+	bins := make(map[int64]bin)
+	for i := range e.Samples {
+		s := &e.Samples[i]
+		if !span.Contains(s.Scheduled) {
+			continue
+		}
+		key := s.Scheduled / int64(sqload.BinSpan)
+		b := bins[key]
+		switch {
+		case s.Importance == squnit.ImportanceCritical && !s.Whole:
+			b.lost++
+		case s.Importance == squnit.ImportanceLow && s.Whole:
+			b.lowServed++
+		}
+		bins[key] = b
+	}
+	lost := 0
+	for _, b := range bins {
+		if b.lowServed > 0 {
+			lost += b.lost
+		}
+	}
+	return lost
+}
+
+func violations(e *sqverify.Evidence) map[string]int {
+	return map[string]int{
+		"crossed": len(e.Crossed()), "falseNotRun": len(e.FalseNotRun()), "falseRun": len(e.FalseRun()),
+		"runTwice": len(e.RunTwice()), "keySeen": len(e.KeySeen()),
+	}
+}
+
+func (f *Figures) line() string {
+	return fmt.Sprintf("goodput %.0f, %.0f (%.2f of what could be had), %.0f; recovery %.2f s; worst %.3f; wasted %.3f; deepest %.2f",
+		f.Before, f.During, f.DuringShare, f.After, f.Recovery, f.WorstShare, f.Wasted, f.Deepest)
+}
+
+// column is one figure of the table.
+type column struct {
+	name  string
+	value func(*Figures) float64
+}
+
+// columns are the figures of the table, in order.
+var columns = []column{
+	{"capacity/s", func(f *Figures) float64 { return f.Capacity }},
+	{"before/s", func(f *Figures) float64 { return f.Before }},
+	{"during/s", func(f *Figures) float64 { return f.During }},
+	{"during share", func(f *Figures) float64 { return f.DuringShare }},
+	{"after/s", func(f *Figures) float64 { return f.After }},
+	{"recovery s", func(f *Figures) float64 { return f.Recovery }},
+	{"worst share", func(f *Figures) float64 { return f.WorstShare }},
+	{"critical share", func(f *Figures) float64 { return f.CriticalShare }},
+	{"critical lost", func(f *Figures) float64 { return float64(f.CriticalLost) }},
+	{"wrongly refused", func(f *Figures) float64 { return f.WronglyRefused }},
+	{"worst excess", func(f *Figures) float64 { return f.WorstExcess }},
+	{"wasted", func(f *Figures) float64 { return f.Wasted }},
+	{"deepest calls", func(f *Figures) float64 { return f.Deepest }},
+	{"sends", func(f *Figures) float64 { return f.Sends }},
+	{"violations", func(f *Figures) float64 { return float64(sum(f.Violations)) }},
+}
+
+func sum[K comparable](m map[K]int) int {
+	n := 0
+	for _, v := range m {
+		n += v
+	}
+	return n
+}
--- a/internal/standin/sqfleet/admin.go
+++ b/internal/standin/sqfleet/admin.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -166,10 +165,12 @@
 	return a.check("behaviour of " + t.Name)
 }
 
-// Runs returns the record of a target, also of one that was terminated.
+// Runs returns the record of a target, with what its earlier lives left if
+// they were terminated.
 func (f *Fleet) Runs(ctx context.Context, t *Target) ([]sqtargetstand.Run, error) {
-	if !t.Running() {
-		return readRecord(t.recordFile)
+	earlier, err := sqtargetstand.ReadRecord(t.recordFile)
+	if err != nil || !t.Running() {
+		return earlier, err
 	}
 	a, err := send(ctx, http.MethodGet, "http://"+t.ControlAddress+"/v1/runs", nil, nil)
 	if err == nil {
@@ -179,16 +180,8 @@
 		return nil, err
 	}
 	var runs []sqtargetstand.Run
-	return runs, json.Unmarshal(a.body, &runs)
-}
-
-func readRecord(file string) ([]sqtargetstand.Run, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return nil, errors.Wrap(err, "read record")
-	}
-	var runs []sqtargetstand.Run
-	return runs, json.Unmarshal(text, &runs)
+	err = json.Unmarshal(a.body, &runs)
+	return append(earlier, runs...), err
 }
 
 // AllRuns returns the records of all targets, by service.
--- a/internal/standin/sqtargetstand/server.go
+++ b/internal/standin/sqtargetstand/server.go
@@ -64,17 +64,36 @@
 
 const recordPerm = 0o600
 
+// writeRecord adds the record to what earlier lives of the target left.
 func (t *Target) writeRecord() error {
 	if t.Config.RecordFile == "" {
 		return nil
 	}
-	text, err := json.Marshal(t.record.Runs())
+	runs, err := ReadRecord(t.Config.RecordFile)
+	if err != nil {
+		return err
+	}
+	text, err := json.Marshal(append(runs, t.record.Runs()...))
 	if err != nil {
 		return errors.Wrap(err, "encode record")
 	}
 	return os.WriteFile(t.Config.RecordFile, text, recordPerm)
 }
 
+// ReadRecord reads the record that targets left in a file; a file that does
+// not exist is an empty record.
+func ReadRecord(file string) ([]Run, error) {
+	text, err := os.ReadFile(file)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "read record")
+	}
+	var runs []Run
+	return runs, json.Unmarshal(text, &runs)
+}
+
 // Prepare makes the target ready to serve through Handler; Run calls it.
 func (t *Target) Prepare(now time.Time) {
 	if t.Client == nil {
