Add fault runs with real processes that follow from a seed

kill -9, SIGSTOP, planned restarts, platform outages, lost answers, a platform that comes back older, changes of the lists and broken targets, with load running; afterwards answers are compared with the targets' records. The plan of faults is a pure function of the seed. Refusals inside the rate are printed, not checked: the bound is for the healthy fleet.

--- a/cmd/sequoia-standin/demo.go
+++ b/cmd/sequoia-standin/demo.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/sequoiatack/sequoiatack/internal/standin/sqdemo"
+	"github.com/sequoiatack/sequoiatack/internal/standin/sqverdict"
 )
 
 // demoTimeout ends a demo that hangs.
@@ -32,9 +33,9 @@
 			if output == "json" {
 				err = json.NewEncoder(c.OutOrStdout()).Encode(rows)
 			} else {
-				err = sqdemo.WriteTable(c.OutOrStdout(), rows)
+				err = sqverdict.WriteTable(c.OutOrStdout(), rows)
 			}
-			if err == nil && !sqdemo.AllHeld(rows) {
+			if err == nil && !sqverdict.AllHeld(rows) {
 				err = errors.New("not everything held")
 			}
 			return err
--- a/cmd/sequoia-standin/main.go
+++ b/cmd/sequoia-standin/main.go
@@ -19,6 +19,7 @@
 	newLoad,
 	newDemo,
 	newExperiment,
+	newChaos,
 }
 
 func main() {
--- /dev/null
+++ b/internal/standin/sqchaos/chaos.go
@@ -0,0 +1,201 @@
+package sqchaos
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/standin/sqexperiment"
+	"github.com/sequoiatack/sequoiatack/internal/standin/sqfleet"
+	"github.com/sequoiatack/sequoiatack/internal/standin/sqload"
+	"github.com/sequoiatack/sequoiatack/internal/standin/sqtargetstand"
+	"github.com/sequoiatack/sequoiatack/internal/standin/sqverdict"
+	"github.com/sequoiatack/sequoiatack/internal/standin/sqverify"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
+)
+
+// Chaos is one run under faults. The exported fields are set before Run.
+type Chaos struct {
+	// Program is the daemon's program; empty builds it.
+	Program string
+	Seed    uint64
+	// Length is how long load is sent.
+	Length time.Duration
+	// Extra is a TOML snippet for the daemons' settings.
+	Extra string
+	// Progress is told what happens.
+	Progress io.Writer
+
+	fleet   *sqfleet.Fleet
+	tenants []sqfleet.Tenant
+
+	mu sync.Mutex
+	// keys are the keys that accepted lists gave to the first workspace.
+	keys []string
+	rows []sqverdict.Row
+}
+
+const (
+	front sqid.ServiceID = "orders"
+	back  sqid.ServiceID = "stock"
+
+	stopTimeout   = 10 * time.Second
+	callerTimeout = time.Second
+	inForceWithin = 6 * time.Second
+)
+
+// layout has two regions with two data centres each, and a chain of two
+// services.
+func layout() sqfleet.Layout {
+	mean := sqtargetstand.ServiceTime{Kind: sqtargetstand.KindExponential, Mean: sqsettings.Span(3 * time.Millisecond)}
+	return sqfleet.Layout{
+		Regions: 2, DataCentres: 2,
+		Services: []sqfleet.Service{
+			{
+				Name: front, Instances: 1, Slots: 20, ServiceTime: mean,
+				Nested: []sqtargetstand.NestedCall{{Service: back, Path: "/take", Method: http.MethodPost}},
+			},
+			{Name: back, Instances: 1, Slots: 20, ServiceTime: mean},
+		},
+	}
+}
+
+func tenants() []sqfleet.Tenant {
+	uses := []sqlists.Use{{
+		Service: front, Importance: squnit.ImportanceNormal, Timeout: sqlists.Duration(callerTimeout), Retries: 2,
+	}}
+	tenant := func(name sqid.WorkspaceID, rate squnit.Rate, burst squnit.Tokens) sqfleet.Tenant {
+		return sqfleet.Tenant{Name: name, Key: sqid.NewKey(), Rate: rate, Burst: burst, Weight: 1, Uses: uses}
+	}
+	return []sqfleet.Tenant{tenant("steady", 200, 100), tenant("greedy", 50, 20), tenant("small", 5, 3)}
+}
+
+// load has one workspace inside its rate and two far above it; all clients
+// send failed operations again, through another entry.
+func (c *Chaos) load() sqload.Config {
+	cfg := sqload.Config{Seed: c.Seed, Duration: sqsettings.Span(c.Length), Timeout: sqsettings.Span(callerTimeout)}
+	for _, d := range c.fleet.Daemons() {
+		cfg.Entries = append(cfg.Entries, d.Entry())
+	}
+	rates := []squnit.Rate{80, 150, 40}
+	for i, t := range c.tenants {
+		cfg.Workspaces = append(cfg.Workspaces, sqload.Workspace{
+			Name: t.Name, Key: t.Key, Rate: rates[i], PlanRate: t.Rate, PlanBurst: t.Burst,
+			Repeats: 2, Backoff: sqsettings.Span(20 * time.Millisecond),
+			Routes: []sqload.Route{
+				{Method: http.MethodPost, Path: "/orders/place", Share: 2, Operations: true, BodyBytes: 100},
+				{Method: http.MethodPost, Path: "/orders/note", Share: 1},
+				{Path: "/orders/list", Share: 1},
+			},
+		})
+	}
+	return cfg
+}
+
+// Run runs the fleet under faults and returns what held.
+func (c *Chaos) Run(ctx context.Context) ([]sqverdict.Row, error) {
+	c.fleet = &sqfleet.Fleet{Layout: layout(), Program: c.Program, Extra: c.Extra, Seed: c.Seed}
+	c.tenants = tenants()
+	plan := Plan(c.Seed, len(c.fleet.Layout.Seats()), c.Length)
+	c.say("seed %d, %d faults", c.Seed, len(plan))
+	if err := c.fleet.Start(ctx); err != nil {
+		return nil, err
+	}
+	defer c.fleet.Stop()
+	if _, err := c.fleet.PutLists(ctx, c.fleet.Daemons()[0], sqfleet.Lists(c.tenants)); err != nil {
+		return nil, errors.Wrap(err, "put the lists")
+	}
+	cfg := c.load()
+	if err := sqexperiment.WaitServing(ctx, c.fleet, cfg); err != nil {
+		return nil, err
+	}
+	result, err := c.runFaults(ctx, cfg, plan)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.judge(ctx, result); err != nil {
+		return nil, err
+	}
+	return c.rows, nil
+}
+
+func (c *Chaos) runFaults(ctx context.Context, cfg sqload.Config, plan []Fault) (*sqload.Result, error) {
+	start := time.Now()
+	var wg sync.WaitGroup
+	for _, f := range plan {
+		wg.Go(func() {
+			select {
+			case <-time.After(time.Until(start.Add(f.At))):
+				c.say("%v", f)
+				if err := c.bring(ctx, f); err != nil {
+					c.say("%s: %v", f.Kind, err)
+				}
+			case <-ctx.Done():
+			}
+		})
+	}
+	result, err := sqload.Run(ctx, cfg)
+	wg.Wait()
+	return result, err
+}
+
+func (c *Chaos) say(format string, args ...any) {
+	if c.Progress == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fmt.Fprintf(c.Progress, format+"\n", args...)
+}
+
+// judge compares answers and records, and checks the lists in force.
+func (c *Chaos) judge(ctx context.Context, result *sqload.Result) error {
+	runs, err := c.fleet.AllRuns(ctx)
+	if err != nil {
+		return err
+	}
+	e := &sqverify.Evidence{Samples: result.Samples, Runs: runs}
+	for _, t := range c.tenants {
+		excess := sqverify.WorstExcess(e.Admissions(t.Name), t.Rate, t.Burst)
+		c.add(sqverdict.Row{
+			What:    fmt.Sprintf("%s gets no more than %.0f + %.0f/s", t.Name, float64(t.Burst), float64(t.Rate)),
+			How:     "every window of answers and records",
+			Figure:  fmt.Sprintf("worst excess %.1f of %d admitted", excess, len(e.Admissions(t.Name))),
+			Verdict: sqverdict.Of(excess <= 0), Reason: "above rate and burst",
+		})
+	}
+	c.add(sqverdict.Violations("non-idempotent requests run at most once", "records of all targets", e.RunTwice()))
+	c.add(sqverdict.Violations("\"not-run\" is true", "answers against records", e.FalseNotRun()))
+	c.add(sqverdict.Violations("\"run\" is true", "answers against records", e.FalseRun()))
+	c.add(sqverdict.Violations("no key at a target", "headers at the targets", e.KeySeen()))
+	c.add(sqverdict.Violations("no crossed answer", "request id and workspace", e.Crossed()))
+	c.judgeLists(ctx)
+	account := result.ByWorkspace[c.tenants[0].Name]
+	c.say("%s: %d of %d whole; %d of %d attempts inside the rate refused for it (a figure, not a check: faults held)",
+		c.tenants[0].Name, account.Whole, account.Requests, account.RefusedInRate, account.InRate)
+	return nil
+}
+
+func (c *Chaos) add(r sqverdict.Row) { c.rows = append(c.rows, r) }
+
+// judgeLists checks that the last accepted lists are in force everywhere.
+func (c *Chaos) judgeLists(ctx context.Context) {
+	key := c.tenants[0].Key
+	if len(c.keys) > 0 {
+		key = c.keys[len(c.keys)-1]
+	}
+	took, err := sqexperiment.TakenEverywhere(ctx, c.fleet, key, time.Now())
+	c.add(sqverdict.Row{
+		What: "the last accepted lists are in force everywhere", How: "each daemon takes the key that they brought",
+		Figure:  fmt.Sprintf("%d changes accepted, %v", len(c.keys), took.Round(time.Millisecond)),
+		Verdict: sqverdict.Of(err == nil && took <= inForceWithin), Reason: fmt.Sprint(err),
+	})
+}
--- a/internal/standin/sqdemo/demo.go
+++ b/internal/standin/sqdemo/demo.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
 	"github.com/sequoiatack/sequoiatack/internal/standin/sqfleet"
 	"github.com/sequoiatack/sequoiatack/internal/standin/sqload"
+	"github.com/sequoiatack/sequoiatack/internal/standin/sqverdict"
 	"github.com/sequoiatack/sequoiatack/internal/standin/sqverify"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
 )
@@ -31,7 +32,7 @@
 	fleet   *sqfleet.Fleet
 	tenants map[sqid.WorkspaceID]*sqfleet.Tenant
 	start   time.Time
-	rows    []Row
+	rows    []sqverdict.Row
 	extra   []sqload.Sample
 }
 
@@ -55,7 +56,7 @@
 
 // Run starts the fleet, runs the demo and returns its rows. The error is for
 // a demo that could not be run to its end.
-func (d *Demo) Run(ctx context.Context) ([]Row, error) {
+func (d *Demo) Run(ctx context.Context) ([]sqverdict.Row, error) {
 	d.fleet = &sqfleet.Fleet{Layout: layout(), Program: d.Program, Seed: d.Seed}
 	d.tenants = tenants()
 	d.say("building and starting %d daemons with their targets", len(d.fleet.Layout.Seats()))
@@ -72,7 +73,7 @@
 	return d.runEvents(ctx)
 }
 
-func (d *Demo) runEvents(ctx context.Context) ([]Row, error) {
+func (d *Demo) runEvents(ctx context.Context) ([]sqverdict.Row, error) {
 	type outcome struct {
 		result *sqload.Result
 		err    error
@@ -107,7 +108,7 @@
 	}
 }
 
-func (d *Demo) add(r Row) { d.rows = append(d.rows, r) }
+func (d *Demo) add(r sqverdict.Row) { d.rows = append(d.rows, r) }
 
 // waitServing waits until every daemon serves the chain with the lists.
 func (d *Demo) waitServing(ctx context.Context) error {
--- a/internal/standin/sqdemo/judge.go
+++ b/internal/standin/sqdemo/judge.go
@@ -9,6 +9,7 @@
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/standin/sqload"
+	"github.com/sequoiatack/sequoiatack/internal/standin/sqverdict"
 	"github.com/sequoiatack/sequoiatack/internal/standin/sqverify"
 )
 
@@ -32,16 +33,16 @@
 	d.judgeKill(e, m)
 	d.judgeOutage(e)
 	d.judgeOperations(e, m)
-	d.add(violations("answers are whole and the caller's own", "request id and workspace in each answer", e.Crossed()))
-	d.add(violations("\"not-run\" is true", "answers against the targets' records", e.FalseNotRun()))
-	d.add(violations("\"run\" is true", "answers against the targets' records", e.FalseRun()))
-	d.add(violations("every answer has Sequoia-Run", "headers of all answers", e.NoOutcome()))
-	d.add(violations("non-idempotent requests run at most once", "the targets' records, all POSTs", e.RunTwice()))
-	d.add(violations("no target sees a key", "headers at the targets", e.KeySeen()))
+	d.add(sqverdict.Violations("answers are whole and the caller's own", "request id and workspace in each answer", e.Crossed()))
+	d.add(sqverdict.Violations("\"not-run\" is true", "answers against the targets' records", e.FalseNotRun()))
+	d.add(sqverdict.Violations("\"run\" is true", "answers against the targets' records", e.FalseRun()))
+	d.add(sqverdict.Violations("every answer has Sequoia-Run", "headers of all answers", e.NoOutcome()))
+	d.add(sqverdict.Violations("non-idempotent requests run at most once", "the targets' records, all POSTs", e.RunTwice()))
+	d.add(sqverdict.Violations("no target sees a key", "headers at the targets", e.KeySeen()))
 	deepest := e.Attempts(calendar, payments)
-	d.add(Row{
+	d.add(sqverdict.Row{
 		What: "retries are bounded over the chain", How: "calls at the deepest service for each admitted request",
-		Figure: fmt.Sprintf("%.3f", deepest), Verdict: verdict(deepest <= deepestShare && deepest > 0),
+		Figure: fmt.Sprintf("%.3f", deepest), Verdict: sqverdict.Of(deepest <= deepestShare && deepest > 0),
 		Reason: fmt.Sprintf("more than %.1f, or none", deepestShare),
 	})
 }
@@ -52,10 +53,10 @@
 
 // share adds a row for the part of a workspace's requests answered whole.
 func (d *Demo) share(what, how string, served sqverify.Served, least float64) {
-	d.add(Row{
+	d.add(sqverdict.Row{
 		What: what, How: how,
 		Figure:  fmt.Sprintf("%d of %d whole", served.Whole, served.Requests),
-		Verdict: verdict(served.Requests > 0 && served.Share() >= least),
+		Verdict: sqverdict.Of(served.Requests > 0 && served.Share() >= least),
 		Reason:  fmt.Sprintf("share %.4f is below %.3f", served.Share(), least),
 	})
 }
@@ -68,10 +69,10 @@
 func (d *Demo) judgeSurge(e *sqverify.Evidence) {
 	excess := sqverify.WorstExcess(e.Admissions(large), largePlanRate, largePlanBurst)
 	surged := e.Served(d.span(surgeFrom, surgeFor), from(large))
-	d.add(Row{
+	d.add(sqverdict.Row{
 		What: "no workspace gets more than its rate and burst", How: "every window of the targets' records",
 		Figure:  fmt.Sprintf("worst excess %.1f; %d of %d served in the surge", excess, surged.Whole, surged.Requests),
-		Verdict: verdict(excess <= 0),
+		Verdict: sqverdict.Of(excess <= 0),
 		Reason:  fmt.Sprintf("%.1f requests above %d + %d/s", excess, largePlanBurst, largePlanRate),
 	})
 	d.share("a surge harms no other workspace", "the workspace inside its rate, during the surge",
@@ -87,10 +88,10 @@
 			}
 		}
 	}
-	d.add(Row{
+	d.add(sqverdict.Row{
 		What: "no request inside its rate is refused for it", How: "the workspace inside its rate, whole run, faults included",
 		Figure:  fmt.Sprintf("%d of %d refused", refused, inRate),
-		Verdict: verdict(float64(refused) <= refusedShare*float64(inRate)),
+		Verdict: sqverdict.Of(float64(refused) <= refusedShare*float64(inRate)),
 		Reason:  fmt.Sprintf("more than %.1f in 1,000", refusedShare*1000),
 	})
 }
@@ -108,14 +109,14 @@
 		}
 	}
 	took := time.Duration(last - m.withdrawn)
-	d.add(Row{
+	d.add(sqverdict.Row{
 		What: "a withdrawn key stops working on open connections", How: "last whole answer after the change was accepted",
-		Figure: fmt.Sprintf("%v, %d sent after", took.Round(time.Millisecond), after), Verdict: verdict(took <= withdrawLimit && after > 0),
+		Figure: fmt.Sprintf("%v, %d sent after", took.Round(time.Millisecond), after), Verdict: sqverdict.Of(took <= withdrawLimit && after > 0),
 		Reason: fmt.Sprintf("still served after %v", withdrawLimit),
 	})
-	d.add(Row{
+	d.add(sqverdict.Row{
 		What: "an accepted change is in force everywhere", How: "until each daemon refuses the key",
-		Figure: m.everywhere.Round(time.Millisecond).String(), Verdict: verdict(m.everywhere < everywhereTimeout),
+		Figure: m.everywhere.Round(time.Millisecond).String(), Verdict: sqverdict.Of(m.everywhere < everywhereTimeout),
 		Reason: fmt.Sprintf("not within %v", everywhereTimeout),
 	})
 }
@@ -127,10 +128,10 @@
 		last = max(last, runs[i].Started)
 	}
 	took := time.Duration(last - m.drained)
-	d.add(Row{
+	d.add(sqverdict.Row{
 		What: "a leaving target gets no new work", How: "last start in its record after SIGTERM, exit status",
 		Figure:  fmt.Sprintf("%v, exit %d", took.Round(time.Millisecond), m.drainExit),
-		Verdict: verdict(err == nil && len(runs) > 0 && took <= drainLimit && m.drainExit == 0),
+		Verdict: sqverdict.Of(err == nil && len(runs) > 0 && took <= drainLimit && m.drainExit == 0),
 		Reason:  fmt.Sprintf("%d runs, %v", len(runs), err),
 	})
 	d.share("a drain fails no request", "the workspace inside its rate, from 0.1 s before to 1 s after",
@@ -153,19 +154,19 @@
 			}
 		}
 	}
-	d.add(Row{
+	d.add(sqverdict.Row{
 		What: "a planned stop cuts no request", How: "callers of the stopped daemon; exit status",
 		Figure:  fmt.Sprintf("%d whole, %d not, %d found it gone, exit %d", whole, cut, unsent, m.stopExit),
-		Verdict: verdict(cut == 0 && whole > 0 && m.stopExit == 0), Reason: first,
+		Verdict: sqverdict.Of(cut == 0 && whole > 0 && m.stopExit == 0), Reason: first,
 	})
 }
 
 func (d *Demo) judgeKill(e *sqverify.Evidence, m *marks) {
 	end := d.start.Add(outageFrom).UnixNano()
 	took, ok := e.Recovery(d.span(0, surgeFrom), m.killed, end)
-	d.add(Row{
+	d.add(sqverdict.Row{
 		What: "a killed daemon is out of use within seconds", How: "until requests are whole again",
-		Figure: took.Round(time.Millisecond).String(), Verdict: verdict(ok && took <= killSettled),
+		Figure: took.Round(time.Millisecond).String(), Verdict: sqverdict.Of(ok && took <= killSettled),
 		Reason: fmt.Sprintf("not within %v", killSettled),
 	})
 	d.share("requests go on after a daemon was killed", fmt.Sprintf("the workspace inside its rate, from %v after", killSettled),
@@ -193,9 +194,9 @@
 			missing = fmt.Sprintf("%s ran %d times", operation, ran[operation])
 		}
 	}
-	d.add(Row{
+	d.add(sqverdict.Row{
 		What: "a repeated operation runs once", How: fmt.Sprintf("each sent %d times at once through as many entries", sendsEach),
-		Figure: fmt.Sprintf("%d of %d ran once", once, m.operations), Verdict: verdict(once == m.operations), Reason: missing,
+		Figure: fmt.Sprintf("%d of %d ran once", once, m.operations), Verdict: sqverdict.Of(once == m.operations), Reason: missing,
 	})
 }
 
@@ -218,9 +219,9 @@
 		})
 	}
 	wg.Wait()
-	d.add(Row{
+	d.add(sqverdict.Row{
 		What: "every daemon ends when asked", How: "SIGTERM to all, exit status 0",
 		Figure:  fmt.Sprintf("%d of %d in %v", clean.Load(), asked.Load(), time.Since(start).Round(time.Millisecond)),
-		Verdict: verdict(clean.Load() == asked.Load()), Reason: "killed, or another exit status",
+		Verdict: sqverdict.Of(clean.Load() == asked.Load()), Reason: "killed, or another exit status",
 	})
 }
--- a/internal/standin/sqexperiment/poll.go
+++ b/internal/standin/sqexperiment/poll.go
@@ -11,10 +11,10 @@
 	"github.com/sequoiatack/sequoiatack/internal/standin/sqload"
 )
 
-// takenEverywhere returns the time from since until every daemon that runs
+// TakenEverywhere returns the time from since until every daemon that runs
 // takes a key; each is asked for a service that no plan allows, so that
 // nothing is charged or run.
-func takenEverywhere(ctx context.Context, f *sqfleet.Fleet, key string, since time.Time) (time.Duration, error) {
+func TakenEverywhere(ctx context.Context, f *sqfleet.Fleet, key string, since time.Time) (time.Duration, error) {
 	ctx, cancel := context.WithDeadline(ctx, since.Add(everywhereWait))
 	defer cancel()
 	var mu sync.Mutex
--- a/internal/standin/sqexperiment/size.go
+++ b/internal/standin/sqexperiment/size.go
@@ -236,7 +236,7 @@
 		if _, err := f.PutList(ctx, at, "workspaces", []sqlists.Workspace{row}); err != nil {
 			return errors.Wrap(err, "change the lists")
 		}
-		took, err := takenEverywhere(ctx, f, key, time.Now())
+		took, err := TakenEverywhere(ctx, f, key, time.Now())
 		if err != nil {
 			return err
 		}
--- a/internal/standin/sqdemo/row.go
+++ b/internal/standin/sqverdict/verdict.go
@@ -1,4 +1,5 @@
-package sqdemo
+// Package sqverdict is the table of what held in a run of a fleet.
+package sqverdict
 
 import (
 	"fmt"
@@ -8,7 +9,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/standin/sqverify"
 )
 
-// Verdict says whether a row of the demo held.
+// Verdict says whether a row held.
 type Verdict string
 
 // The verdicts.
@@ -18,7 +19,7 @@
 	NotBuilt Verdict = "not built yet"
 )
 
-// Row is one property that the demo checks.
+// Row is one property that was checked.
 type Row struct {
 	What    string  `json:"what"`
 	How     string  `json:"how"`
@@ -28,17 +29,17 @@
 	Reason string `json:"reason,omitempty"`
 }
 
-// verdict returns Held or NotHeld.
-func verdict(ok bool) Verdict {
+// Of returns Held or NotHeld.
+func Of(ok bool) Verdict {
 	if ok {
 		return Held
 	}
 	return NotHeld
 }
 
-// violations makes a row of violations, none of which may be.
-func violations(what, how string, found []sqverify.Violation) Row {
-	row := Row{What: what, How: how, Figure: fmt.Sprintf("%d found", len(found)), Verdict: verdict(len(found) == 0)}
+// Violations makes a row of violations, none of which may be.
+func Violations(what, how string, found []sqverify.Violation) Row {
+	row := Row{What: what, How: how, Figure: fmt.Sprintf("%d found", len(found)), Verdict: Of(len(found) == 0)}
 	if len(found) > 0 {
 		row.Reason = found[0].String()
 	}
@@ -66,7 +67,7 @@
 }
 
 // AllHeld reports whether no row failed. Rows of what is not built yet are
-// not counted as held, and do not fail the demo.
+// not counted as held, and fail nothing.
 func AllHeld(rows []Row) bool {
 	for _, r := range rows {
 		if r.Verdict == NotHeld {
