--- a/cmd/sequoia-standin/main.go
+++ b/cmd/sequoia-standin/main.go
@@ -17,6 +17,9 @@
 	newPlatform,
 	newTarget,
 	newLoad,
+	newDemo,
+	newExperiment,
+	newChaos,
 }
 
 func main() {
