Keep books of operations at the keepers, copied to a backup before each grant

The keepers record names a backup for each shard; only the keeper names a new one, after copying the whole book.

--- a/internal/edge/sqclaim/books.go
+++ b/internal/edge/sqclaim/books.go
@@ -45,6 +45,8 @@
 
 // Keeping is what the keepers record says of a shard that this daemon keeps.
 type Keeping struct {
+	// Record is the epoch of the record.
+	Record sqid.Epoch
 	// Since is the epoch at which it was assigned the shard.
 	Since sqid.Epoch
 	// From is the epoch at which the keeper before it was assigned the shard,
@@ -87,6 +89,10 @@
 	// Horizon is that of all daemons; 0 is DefaultHorizon.
 	Horizon time.Duration
 
+	// unbacked is a test switch: grants are not copied, and a successor
+	// believes that it knows them all.
+	unbacked bool
+
 	shards [sqoperation.Shards]shard
 	once   sync.Once
 	dial   func(address string) (sqclaimwire.ClaimsClient, error)
@@ -102,6 +108,9 @@
 	book  *sqoperation.Book
 	// paused stops grants while the backup is being changed.
 	paused bool
+	// doubt is the epoch of the record that a write of unknown outcome was to
+	// replace, 0 if there is none.
+	doubt sqid.Epoch
 	// joined is the epoch of the set of data centres for which the book has
 	// the operations of the keys' earlier homes.
 	joined uint64
@@ -148,13 +157,13 @@
 		s.book = c.book
 	case k.From != 0 && s.since == k.From:
 		// The shard has come back to this daemon's own tenure.
-	case k.First:
+	case k.First, b.unbacked:
 		s.book = b.newBook()
 	default:
 		s.book = b.newBook()
 		s.book.CompleteSince, s.book.CompleteEpoch = now.Add(MaxTimeout), k.Since
 	}
-	s.since, s.copy, s.paused, s.joined = k.Since, nil, false, 0
+	s.since, s.copy, s.paused, s.joined, s.doubt = k.Since, nil, false, 0, 0
 }
 
 // Tick forgets operations past the horizon and sees to the backups.
--- a/internal/edge/sqclaim/duty.go
+++ b/internal/edge/sqclaim/duty.go
@@ -49,11 +49,12 @@
 		s.mu.Lock()
 		b.adopt(s, keeping, now)
 		joined := s.joined == epoch
+		doubtful := s.doubtful(keeping.Record)
 		s.mu.Unlock()
 		if !joined {
 			unjoined = append(unjoined, id)
 		}
-		if m, due := nextBackup(id, keeping, candidates); due {
+		if m, due := nextBackup(id, keeping, candidates); due && !doubtful {
 			backups[id] = m
 		}
 	}
@@ -78,15 +79,27 @@
 	return candidates[spread%uint64(len(candidates))], true
 }
 
+// doubtful reports whether the record may name a backup that this daemon does
+// not know of. A newer record settles that: it has the write or excludes it.
+func (s *shard) doubtful(record sqid.Epoch) bool {
+	if s.doubt != 0 && record > s.doubt {
+		s.doubt, s.paused = 0, false
+	}
+	return s.doubt != 0
+}
+
 // setBackups copies whole books to new backups and names them in the record.
 // Grants pause from before the copy until the record names the backup.
 func (b *Books) setBackups(ctx context.Context, backups map[sqid.ShardID]sqkeeper.Member) {
+	records := make(map[sqid.ShardID]sqid.Epoch)
 	for id, m := range backups {
+		keeping, ok := b.Keepers.Keeping(id, time.Now())
 		b.pause(id, true)
-		if m.Daemon != "" && !b.copyWhole(ctx, id, m) {
-			b.pause(id, b.hasBackup(id))
+		if !ok || m.Daemon != "" && !b.copyWhole(ctx, id, m) {
+			b.pause(id, false)
 			delete(backups, id)
 		}
+		records[id] = keeping.Record
 	}
 	if len(backups) == 0 {
 		return
@@ -96,17 +109,14 @@
 		b.Logger.Error(err, "backups are not in the record", "shards", len(backups))
 	}
 	for id := range backups {
-		// After an unknown outcome the record may name the backup: grants
-		// that it has no copy of must wait.
-		b.pause(id, errors.Is(err, sqplatform.ErrUncertain) || err != nil && b.hasBackup(id))
+		if errors.Is(err, sqplatform.ErrUncertain) {
+			b.doubt(id, records[id])
+			continue
+		}
+		b.pause(id, false)
 	}
 }
 
-func (b *Books) hasBackup(id sqid.ShardID) bool {
-	k, ok := b.Keepers.Keeping(id, time.Now())
-	return !ok || k.Backup.Daemon != ""
-}
-
 func (b *Books) pause(id sqid.ShardID, paused bool) {
 	s := &b.shards[id]
 	s.mu.Lock()
@@ -114,6 +124,14 @@
 	s.paused = paused
 }
 
+// doubt leaves grants paused until a record newer than the one given is known.
+func (b *Books) doubt(id sqid.ShardID, record sqid.Epoch) {
+	s := &b.shards[id]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doubt = record
+}
+
 // Give sends the books of shards that this daemon has stopped keeping to
 // their next keeper.
 func (b *Books) Give(ctx context.Context, shards []sqid.ShardID, to sqkeeper.Member) {
--- a/internal/edge/sqdaemon/adapt.go
+++ b/internal/edge/sqdaemon/adapt.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqclaim"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqledger"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqoperation"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqmember"
@@ -89,3 +92,47 @@
 	d, err := c.l.Charge(ctx, w)
 	return d.Admitted, d.RetryAfter, err
 }
+
+// keepers gives the books what the keepers record says.
+type keepers struct{ l *sqledger.Ledger }
+
+// Keeping returns what this daemon keeps of a shard.
+func (k keepers) Keeping(s sqid.ShardID, now time.Time) (sqclaim.Keeping, bool) {
+	t, ok := k.l.Tenure(s, now)
+	return sqclaim.Keeping{Record: t.Record, Since: t.Since, From: t.From, First: t.Since == 1, Backup: t.Backup}, ok
+}
+
+// Home returns the keeper of a shard.
+func (k keepers) Home(dc sqid.DataCentreID, s sqid.ShardID) (sqkeeper.Member, sqid.Epoch, bool) {
+	h, ok := k.l.Home(dc, s)
+	return h.Keeper, h.Epoch, ok
+}
+
+// Candidates returns the daemons that may be backups.
+func (k keepers) Candidates() []sqkeeper.Member { return k.l.Roster() }
+
+// SetBackups writes backups into the record.
+func (k keepers) SetBackups(ctx context.Context, backups map[sqid.ShardID]sqkeeper.Member) error {
+	return k.l.SetBackups(ctx, backups)
+}
+
+// Centres returns the agreed set of data centres.
+func (k keepers) Centres() ([]sqid.DataCentreID, uint64) {
+	s := k.l.Shares()
+	return s.DataCentres, uint64(s.Epoch)
+}
+
+// operations gives the entry the books.
+type operations struct{ b *sqclaim.Books }
+
+// Begin claims an operation.
+func (o operations) Begin(ctx context.Context, k sqoperation.Key, f sqoperation.Fingerprint, deadline time.Time) (func(sqoperation.Outcome), *sqoperation.Answer, *sqerror.Error) {
+	op, replay, refusal := o.b.Begin(ctx, k, f, deadline)
+	if op == nil {
+		return nil, replay, refusal
+	}
+	return op.Finish, nil, nil
+}
+
+// Mint returns a fresh key.
+func (o operations) Mint(now time.Time) string { return o.b.Mint(now) }
--- a/internal/edge/sqdaemon/build.go
+++ b/internal/edge/sqdaemon/build.go
@@ -8,6 +8,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqclaim"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqentry"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgossip"
@@ -43,6 +44,7 @@
 	d.buildMember()
 	d.buildLists()
 	d.buildLedger()
+	d.buildBooks()
 	d.buildPath()
 	d.buildPeers()
 	return nil
@@ -94,6 +96,14 @@
 	d.timer.Subscribe(sqledger.TickPeriod, d.ledger)
 }
 
+func (d *Daemon) buildBooks() {
+	d.books = &sqclaim.Books{
+		Self: d.ledger.Self, DataCentre: d.Settings.DataCentre, Keepers: keepers{d.ledger}, Conns: d.pool, Logger: d.Logger,
+	}
+	d.ledger.OnGive(d.books)
+	d.timer.Subscribe(sqclaim.TickPeriod, d.books)
+}
+
 func (d *Daemon) buildPath() {
 	s := &d.Settings
 	d.targets = &sqgate.Targets{Listener: spread{d}, NewAdmission: newAdmission(s.Policy)}
@@ -108,7 +118,7 @@
 	}
 	d.entry = &sqentry.Entry{
 		Daemon: s.DaemonName, Lists: lists{d}, Router: router, Gate: d.gate, Conns: d.pool, Calls: d.calls,
-		Charger: charger{d.ledger}, Metrics: d.metrics, Logger: d.Logger, Stopping: d.stopping.Load,
+		Charger: charger{d.ledger}, Operations: operations{d.books}, Metrics: d.metrics, Logger: d.Logger, Stopping: d.stopping.Load,
 	}
 	d.timer.Subscribe(targetsTick, d.targets)
 	d.timer.Subscribe(routerTick, router)
@@ -119,6 +129,7 @@
 	(&sqgate.Server{Gate: d.gate}).Register(d.peers)
 	d.gossip.Register(d.peers)
 	d.ledger.Register(d.peers)
+	d.books.Register(d.peers)
 }
 
 func (d *Daemon) localHandler() http.Handler {
--- a/internal/edge/sqdaemon/daemon.go
+++ b/internal/edge/sqdaemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqtimer"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqclaim"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqentry"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgossip"
@@ -47,6 +48,7 @@
 	gossip   *sqgossip.Transport
 	seeds    *sqgossip.Seeding
 	ledger   *sqledger.Ledger
+	books    *sqclaim.Books
 	targets  *sqgate.Targets
 	fleet    *sqtarget.Directory
 	calls    *sqcall.Table
@@ -97,6 +99,7 @@
 	g.Go(func() error { return d.seeds.Run(run) })
 	g.Go(func() error { return d.follower.Run(run) })
 	g.Go(func() error { return d.ledger.Run(run) })
+	g.Go(func() error { return d.books.Run(run) })
 	g.Go(func() error { return errors.Wrap(d.peers.Serve(d.peerListener), "serve peers") })
 	for _, e := range []*endpoint{d.callers, d.local, d.admin} {
 		g.Go(e.serve)
--- a/internal/edge/sqentry/answer.go
+++ b/internal/edge/sqentry/answer.go
@@ -21,6 +21,9 @@
 	control *http.ResponseController
 	// prepare is called once before the head is written.
 	prepare func(h http.Header, run squnit.RunState)
+	// record keeps the answer of an operation for repeats, nil for none; the
+	// answer is read to its end then, also if the caller has gone.
+	record *record
 
 	begun   bool
 	last    bool
@@ -52,7 +55,13 @@
 	case !a.begun:
 		return errors.New("first frame has no head")
 	}
-	return a.write(frame)
+	if a.record != nil {
+		a.record.add(frame)
+	}
+	if err := a.write(frame); err != nil && a.record == nil {
+		return err
+	}
+	return nil
 }
 
 func (a *answer) begin(head *sqcallwire.AnswerHead) {
@@ -68,13 +77,13 @@
 }
 
 func (a *answer) write(frame *sqcallwire.AnswerFrame) error {
-	if len(frame.GetBody()) > 0 {
+	if len(frame.GetBody()) > 0 && a.writeErr == nil {
 		if _, err := a.w.Write(frame.GetBody()); err != nil {
 			a.writeErr = err
 			return err
 		}
 	}
-	if !a.last {
+	if !a.last && a.writeErr == nil {
 		a.writeErr = a.control.Flush()
 	}
 	return a.writeErr
--- a/internal/edge/sqentry/attempt.go
+++ b/internal/edge/sqentry/attempt.go
@@ -23,7 +23,7 @@
 // been passed on whole. An answer that is cut after it was begun cuts the
 // caller's connection, by panicking as net/http asks.
 func (q *request) attempt(w http.ResponseWriter, t sqtarget.Row) *sqerror.Error {
-	a := &answer{w: w, control: http.NewResponseController(w), prepare: q.answerHeaders}
+	a := &answer{w: w, control: http.NewResponseController(w), prepare: q.answerHeaders, record: q.record}
 	start := time.Now()
 	q.entry.Router.Route.Started(t.ID)
 	err := q.exchange(t, a)
@@ -61,6 +61,11 @@
 
 func (q *request) answerHeaders(h http.Header, run squnit.RunState) {
 	h.Set(sqheader.Run, run.String())
+	if q.parent == nil && q.nonIdempotent && q.workspace != "" {
+		if key := q.entry.Operations.Mint(time.Now()); key != "" {
+			h.Set(sqheader.NextKey, key)
+		}
+	}
 }
 
 func (q *request) exchange(t sqtarget.Row, a *answer) error {
--- a/internal/edge/sqentry/entry.go
+++ b/internal/edge/sqentry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
@@ -56,8 +57,10 @@
 	Calls  *sqcall.Table
 	// Charger spends the workspaces' rates.
 	Charger Charger
-	Metrics *sqmetric.Set
-	Logger  logr.Logger
+	// Operations decides on requests with idempotency keys.
+	Operations Operations
+	Metrics    *sqmetric.Set
+	Logger     logr.Logger
 	// Stopping reports whether a planned stop has begun; connections are
 	// closed after their answers then.
 	Stopping func() bool
@@ -66,6 +69,7 @@
 // Callers returns the handler of the callers' address.
 func (e *Entry) Callers() http.Handler {
 	m := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	m.HandleFunc("/sequoiatack/operations", e.serveMint).Methods(http.MethodPost)
 	m.HandleFunc("/{service}", e.serveCaller)
 	m.HandleFunc("/{service}/{path:.*}", e.serveCaller)
 	m.NotFoundHandler = http.HandlerFunc(e.notFound)
@@ -99,6 +103,32 @@
 	q.serve(w, r)
 }
 
+// serveMint gives a caller a fresh idempotency key.
+func (e *Entry) serveMint(w http.ResponseWriter, r *http.Request) {
+	index := e.Lists.Index()
+	key, err := sqheader.Key(r.Header)
+	if index == nil || err != nil || key == "" {
+		e.refuse(w, refuse(sqreason.KeyMissing, err))
+		return
+	}
+	if _, ok := index.Workspace(sqid.DigestKey(key)); !ok {
+		e.refuse(w, refuse(sqreason.KeyUnknown, nil))
+		return
+	}
+	minted := e.Operations.Mint(time.Now())
+	if minted == "" {
+		e.refuse(w, refuse(sqreason.OperationHomeAway, nil))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Minted{IdempotencyKey: minted})
+}
+
+// Minted is the answer to a request for a fresh key.
+type Minted struct {
+	IdempotencyKey string `json:"idempotencyKey"`
+}
+
 func (e *Entry) serveNested(w http.ResponseWriter, r *http.Request) {
 	q, refusal := e.nestedRequest(r, time.Now())
 	if refusal != nil {
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -48,6 +48,7 @@
 	root          string
 	share         squnit.Share
 	operation     string
+	record        *record
 	headers       []*sqcallwire.Header
 	contentLength int64
 	body          *body
@@ -68,6 +69,7 @@
 	q := &request{
 		entry: e, service: s, path: path, method: r.Method, deadline: deadline,
 		headers: sqheader.Outward(r.Header), contentLength: r.ContentLength,
+		operation: r.Header.Get(sqheader.IdempotencyKey),
 	}
 	q.ctx, q.cancel = context.WithDeadline(r.Context(), deadline.Add(deadlineGrace))
 	return q
@@ -75,9 +77,13 @@
 
 // serve runs the request and answers it.
 func (q *request) serve(w http.ResponseWriter, r *http.Request) {
-	defer q.cancel()
+	defer func() { q.cancel() }()
 	refusal := q.prepare(w, r)
-	if refusal == nil {
+	switch {
+	case refusal != nil:
+	case q.named():
+		refusal = q.serveOperation(w, r)
+	default:
 		refusal = q.attempts(w)
 	}
 	if refusal != nil {
--- a/internal/edge/sqheader/header.go
+++ b/internal/edge/sqheader/header.go
@@ -21,6 +21,10 @@
 	Workspace      = "Sequoia-Workspace"
 	Deadline       = "Sequoia-Deadline"
 	IdempotencyKey = "Idempotency-Key"
+	// NextKey carries a fresh idempotency key for the caller's next operation.
+	NextKey = "Sequoia-Next-Key"
+	// Replayed is "true" on an answer that an operation gave earlier.
+	Replayed = "Sequoia-Replayed"
 
 	ownPrefix = "Sequoia-"
 	bearer    = "Bearer "
--- /dev/null
+++ b/internal/edge/sqledger/backup.go
@@ -0,0 +1,89 @@
+package sqledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
+)
+
+// Tenure is what the keepers record says of a shard that this daemon keeps.
+type Tenure struct {
+	// Record is the epoch of the record.
+	Record sqid.Epoch
+	// Since is the epoch at which the daemon was assigned the shard.
+	Since sqid.Epoch
+	// From is the epoch at which the keeper before was assigned the shard, if
+	// this daemon was given its state or was its backup; else 0.
+	From sqid.Epoch
+	// Backup has no name if the shard has none.
+	Backup sqkeeper.Member
+}
+
+// Tenure returns this daemon's tenure of a shard of its data centre, and false
+// if it may not act as keeper at now.
+func (l *Ledger) Tenure(s sqid.ShardID, now time.Time) (Tenure, bool) {
+	l.init()
+	v := l.view.Load()
+	r := v.records[l.DataCentre]
+	if r == nil || int(s) >= sqkeeper.ShardCount || !v.keeping(s, now) {
+		return Tenure{}, false
+	}
+	h := r.Holdings[s]
+	if !r.Keeper(s).Is(l.Self) || h.Since != v.since[s] {
+		return Tenure{}, false
+	}
+	return Tenure{Record: r.Epoch, Since: h.Since, From: max(h.HandedSince, h.BackedSince), Backup: r.Backup(s)}, true
+}
+
+// Roster returns the other members of the data centre's roster that are alive.
+func (l *Ledger) Roster() []sqkeeper.Member {
+	l.init()
+	r := l.view.Load().records[l.DataCentre]
+	if r == nil {
+		return nil
+	}
+	alive := sqkeeper.Roster(l.Members.Alive(l.DataCentre))
+	var others []sqkeeper.Member
+	for _, m := range r.Roster {
+		if !m.Is(l.Self) && alive.Index(m) >= 0 {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
+// Shares returns the newest set of data centres that this daemon knows.
+func (l *Ledger) Shares() sqkeeper.SharesSet {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shares
+}
+
+// errNotKept says that the daemon no longer keeps a shard.
+var errNotKept = errors.New("shard is not kept here")
+
+// SetBackups names the backups of shards that this daemon keeps in the record;
+// a member without a name takes a shard's backup away. Its error is
+// sqplatform.ErrUncertain if the record may have changed.
+func (l *Ledger) SetBackups(ctx context.Context, backups map[sqid.ShardID]sqkeeper.Member) error {
+	l.init()
+	err := errNotKept
+	derive := func(r *sqkeeper.Record, now time.Time) (*sqkeeper.Record, bool) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		n, ok := r.WithBackups(l.Self, backups, func(e sqkeeper.Earlier) bool { return l.machine.Closed(e, now) })
+		if ok {
+			err = nil
+		}
+		return n, ok
+	}
+	if changeErr := l.change(ctx, derive); changeErr != nil {
+		return changeErr
+	}
+	return err
+}
--- a/internal/policy/sqoperation/key.go
+++ b/internal/policy/sqoperation/key.go
@@ -1,8 +1,10 @@
 package sqoperation
 
 import (
+	"cmp"
 	"crypto/rand"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -47,11 +49,18 @@
 	if len(centres) == 0 {
 		return Home{}, errors.New("no data centre is known")
 	}
-	sum := xxhash.Sum64String(string(k.Workspace) + "\x00" + k.Text)
-	return Home{
-		DataCentre: centres[(sum>>32)%uint64(len(centres))],
-		Shard:      sqid.ShardID(sum % Shards),
-	}, nil
+	name := string(k.Workspace) + "\x00" + k.Text
+	best := slices.MaxFunc(centres, func(a, b sqid.DataCentreID) int {
+		return cmp.Or(cmp.Compare(weight(a, name), weight(b, name)), cmp.Compare(a, b))
+	})
+	return Home{DataCentre: best, Shard: sqid.ShardID(xxhash.Sum64String(name) % Shards)}, nil
+}
+
+// weight is that of rendezvous hashing (Thaler and Ravishankar, 1998): a data
+// centre that joins becomes the home of its part of the keys, and no other key
+// moves.
+func weight(dc sqid.DataCentreID, name string) uint64 {
+	return xxhash.Sum64String(string(dc) + "\x00" + name)
 }
 
 func parseMinted(text string) (Home, error) {
--- a/internal/state/sqkeeper/change.go
+++ b/internal/state/sqkeeper/change.go
@@ -62,6 +62,23 @@
 	return n, len(n.Earlier) <= openLimit && len(n.Roster) > 0
 }
 
+// WithBackups returns the record in which shards that keeper keeps have the
+// backups given; one without a name takes a shard's backup away. It returns
+// false if keeper does not keep them all.
+func (r *Record) WithBackups(keeper Member, backups map[sqid.ShardID]Member, closed func(Earlier) bool) (*Record, bool) {
+	n := r.successor(closed)
+	for s, m := range backups {
+		if !r.Keeper(s).Is(keeper) {
+			return nil, false
+		}
+		n.Holdings[s].Backup = 0
+		if m.Daemon != "" {
+			n.Holdings[s].Backup = n.seat(m) + 1
+		}
+	}
+	return n, len(n.Earlier) <= openLimit
+}
+
 func (r *Record) successor(closed func(Earlier) bool) *Record {
 	n := *r
 	n.Epoch++
@@ -116,7 +133,7 @@
 }
 
 // unseat takes the members that are not to stay out of the roster; their
-// shards go to those with the fewest.
+// shards go to their backups, or else to those with the fewest.
 func (r *Record) unseat(stays func(Member) bool) {
 	place := make([]int, len(r.Roster))
 	var roster Roster
@@ -139,13 +156,20 @@
 	}
 	for s := range r.Holdings {
 		h := &r.Holdings[s]
+		backup := -1
+		if h.Backup > 0 {
+			backup = place[h.Backup-1]
+		}
 		if p := place[h.Keeper]; p >= 0 {
-			h.Keeper = p
+			h.Keeper, h.Backup = p, backup+1
 			continue
 		}
-		least := slices.Index(held, slices.Min(held))
-		*h = Holding{Keeper: least, Since: r.Epoch}
-		held[least]++
+		next := Holding{Keeper: backup, Since: r.Epoch, BackedSince: h.Since}
+		if backup < 0 {
+			next = Holding{Keeper: slices.Index(held, slices.Min(held)), Since: r.Epoch}
+		}
+		*h = next
+		held[next.Keeper]++
 	}
 }
 
--- a/internal/state/sqkeeper/record.go
+++ b/internal/state/sqkeeper/record.go
@@ -91,6 +91,12 @@
 	// HandedSince is the epoch at which the keeper before was assigned the
 	// shard, if that one had stopped when the epoch Since began; else 0.
 	HandedSince sqid.Epoch `json:"handedSince,omitempty"`
+	// Backup is the place in the roster, plus 1, of the member that has a copy
+	// of what the keeper holds of the shard; 0 if there is none.
+	Backup int `json:"backup,omitempty"`
+	// BackedSince is the epoch at which the keeper before was assigned the
+	// shard, if that one is lost and this one was its backup; else 0.
+	BackedSince sqid.Epoch `json:"backedSince,omitempty"`
 }
 
 // Earlier is the roster of the epochs from First to Last, in which there may
@@ -118,6 +124,14 @@
 	return r.Roster[r.Holdings[s].Keeper]
 }
 
+// Backup returns the backup of a shard; it has no name if there is none.
+func (r *Record) Backup(s sqid.ShardID) Member {
+	if i := r.Holdings[s].Backup; i > 0 {
+		return r.Roster[i-1]
+	}
+	return Member{}
+}
+
 // HeldBy returns the shards that a daemon's life keeps.
 func (r *Record) HeldBy(m Member) []sqid.ShardID {
 	var held []sqid.ShardID
@@ -151,6 +165,9 @@
 		if h.Keeper < 0 || h.Keeper >= len(r.Roster) {
 			return nil, errors.Errorf("keepers record: shard %d has no keeper", s)
 		}
+		if h.Backup < 0 || h.Backup > len(r.Roster) {
+			return nil, errors.Errorf("keepers record: shard %d has no such backup", s)
+		}
 	}
 	return r, nil
 }
