--- a/internal/base/sqsettings/check.go
+++ b/internal/base/sqsettings/check.go
@@ -57,6 +57,9 @@
 	add("stopTimeout", checkPositive(s.StopTimeout))
 	add("staleListsAfter", checkNotNegative(s.StaleListsAfter))
 	add("log.level", checkLevel(s.Log.Level))
+	if s.LinkBytesPerSecond < 0 {
+		add("linkBytesPerSecond", errors.Errorf("%d must not be negative", s.LinkBytesPerSecond))
+	}
 	add("policy", checkPolicy(s.Policy))
 	add("(addresses)", s.checkDistinct())
 	return faults
--- a/internal/base/sqsettings/settings.go
+++ b/internal/base/sqsettings/settings.go
@@ -15,6 +15,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 )
 
 // Settings are one daemon's settings, as in its TOML file.
@@ -31,7 +32,10 @@
 	AdminKeyDigests   []sqid.KeyDigest  `toml:"adminKeyDigests"`
 	StopTimeout       Span              `toml:"stopTimeout"`
 	StaleListsAfter   Span              `toml:"staleListsAfter"`
-	Log               Log               `toml:"log"`
+	// LinkBytesPerSecond is what calls may use of the link from this daemon's
+	// region to each other one, over all daemons of the region.
+	LinkBytesPerSecond squnit.Bytes `toml:"linkBytesPerSecond"`
+	Log                Log          `toml:"log"`
 	// Policy is what decides under load; the naive ones are for comparison.
 	Policy Policy `toml:"policy"`
 }
@@ -76,11 +80,12 @@
 const (
 	defaultStopTimeout = 30 * time.Second
 	defaultLogLevel    = "info"
+	defaultLinkBytes   = squnit.Bytes(3_000_000)
 )
 
 // Defaults returns the settings that hold where a file says nothing.
 func Defaults() Settings {
-	return Settings{StopTimeout: Span(defaultStopTimeout), Log: Log{Level: defaultLogLevel}, Policy: PolicyFull}
+	return Settings{StopTimeout: Span(defaultStopTimeout), Log: Log{Level: defaultLogLevel}, Policy: PolicyFull, LinkBytesPerSecond: defaultLinkBytes}
 }
 
 // Fault is one thing that is wrong with a file.
--- a/internal/edge/sqdaemon/build.go
+++ b/internal/edge/sqdaemon/build.go
@@ -122,6 +122,7 @@
 	}
 	d.timer.Subscribe(targetsTick, d.targets)
 	d.timer.Subscribe(routerTick, router)
+	d.timer.Subscribe(routerTick, &links{member: d.member, route: router.Route, region: s.Region, rate: s.LinkBytesPerSecond})
 }
 
 func (d *Daemon) buildPeers() {
--- a/internal/edge/sqentry/answer.go
+++ b/internal/edge/sqentry/answer.go
@@ -31,6 +31,8 @@
 	refusal *sqerror.Error
 	load    *sqcallwire.Load
 	credit  squnit.Credit
+	// received is the size of the answer's body so far.
+	received squnit.Bytes
 	// writeErr is the caller's connection's.
 	writeErr error
 }
@@ -45,6 +47,7 @@
 		a.load = frame.GetLoad()
 		a.credit = squnit.Credit(frame.GetCreditLeft())
 	}
+	a.received += squnit.Bytes(len(frame.GetBody()))
 	head := frame.GetHead()
 	switch {
 	case head.GetRefusal() != nil:
--- a/internal/edge/sqentry/attempt.go
+++ b/internal/edge/sqentry/attempt.go
@@ -28,6 +28,7 @@
 	q.entry.Router.Route.Started(t.ID)
 	err := q.exchange(t, a)
 	refusal := q.outcome(t, a, err)
+	q.entry.Router.Route.SpendLink(time.Now(), t.Region, a.received+q.sent())
 	q.entry.Router.ended(q, t.ID, time.Since(start), refusal, a.load)
 	q.settle(a, refusal)
 	switch {
@@ -43,6 +44,11 @@
 	return refusal
 }
 
+// sent is the size of the request's body as far as it is known.
+func (q *request) sent() squnit.Bytes {
+	return squnit.Bytes(max(q.contentLength, int64(len(q.body.first))))
+}
+
 // settle brings the credit up to date: what a lost answer would have brought
 // back is lost, unless the call was certainly not run.
 func (q *request) settle(a *answer, refusal *sqerror.Error) {
