--- /dev/null
+++ b/internal/edge/sqdaemon/chain_test.go
@@ -0,0 +1,101 @@
+package sqdaemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+)
+
+// forward makes a nested call to a service beside node i and passes its answer
+// on; a failed one fails the call.
+func (f *fleet) forward(w http.ResponseWriter, r *http.Request, i int, service string) {
+	inner, err := http.NewRequestWithContext(r.Context(), r.Method, f.nodes[i].local.URL+"/call/"+service+"/x", nil)
+	qt.Check(f.t, err, qt.IsNil)
+	inner.Header.Set("Sequoia-Call", r.Header.Get("Sequoia-Call"))
+	resp, err := http.DefaultClient.Do(inner)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.Copy(w, resp.Body)
+}
+
+// TestCreditBoundsTheChain has the deepest of four services fail each time and
+// every hop ready to retry: a count of three for each hop would be 64 runs.
+func TestCreditBoundsTheChain(t *testing.T) {
+	const credit, depth = 3, 4
+	f := newFleet(t, 3, allow(credit, "s0"))
+	var deepest atomic.Int64
+	for i := range f.nodes {
+		for level := range depth {
+			f.target(i, sqid.ServiceID(fmt.Sprint("s", level)), func(w http.ResponseWriter, r *http.Request) {
+				if level == depth-1 {
+					deepest.Add(1)
+					panic(http.ErrAbortHandler)
+				}
+				f.forward(w, r, i, fmt.Sprint("s", level+1))
+			})
+		}
+	}
+	resp, _ := f.do(http.MethodGet, "/s0/x", testKey, nil)
+	qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusBadGateway)
+	qt.Assert(t, deepest.Load() > 1, qt.IsTrue, qt.Commentf("no retry was made"))
+	qt.Assert(t, deepest.Load() <= 1+credit, qt.IsTrue, qt.Commentf("%d runs", deepest.Load()))
+}
+
+// TestCancellationGoesDown has the caller leave while the deepest call runs.
+func TestCancellationGoesDown(t *testing.T) {
+	f := newFleet(t, 2, allow(0, "outer"))
+	running, ended := make(chan struct{}), make(chan struct{})
+	f.target(0, "outer", func(w http.ResponseWriter, r *http.Request) { f.forward(w, r, 0, "inner") })
+	f.target(1, "inner", func(_ http.ResponseWriter, r *http.Request) {
+		close(running)
+		<-r.Context().Done()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, f.nodes[0].caller.URL+"/outer/x", nil)
+	qt.Assert(t, err, qt.IsNil)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	go func() {
+		<-running
+		cancel()
+	}()
+	_, err = http.DefaultClient.Do(r)
+	qt.Assert(t, err, qt.IsNotNil)
+	<-ended
+}
+
+// TestDeadlineGoesDown has the caller's timeout end a nested call, and the
+// refusal say that the outcome is unknown.
+func TestDeadlineGoesDown(t *testing.T) {
+	f := newFleet(t, 2, allow(0, "outer"))
+	left := make(chan string, 1)
+	f.target(0, "outer", func(w http.ResponseWriter, r *http.Request) { f.forward(w, r, 0, "inner") })
+	f.target(1, "inner", func(_ http.ResponseWriter, r *http.Request) {
+		left <- r.Header.Get("Sequoia-Deadline")
+		<-r.Context().Done()
+	})
+	r, err := http.NewRequest(http.MethodGet, f.nodes[0].caller.URL+"/outer/x", nil)
+	qt.Assert(t, err, qt.IsNil)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set("Sequoia-Timeout", "200ms")
+	resp, err := http.DefaultClient.Do(r)
+	qt.Assert(t, err, qt.IsNil)
+	_ = resp.Body.Close()
+	qt.Assert(t, resp.Header.Get("Sequoia-Run"), qt.Equals, "unknown")
+	d, err := time.ParseDuration(<-left)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, d <= 200*time.Millisecond, qt.IsTrue)
+}
--- a/internal/edge/sqdaemon/path_test.go
+++ b/internal/edge/sqdaemon/path_test.go
@@ -42,6 +42,11 @@
 	return true, 0, nil
 }
 
+// noOperations knows no keeper.
+type noOperations struct{ sqentry.Operations }
+
+func (noOperations) Mint(time.Time) string { return "" }
+
 // node is the data path of one daemon on loopback.
 type node struct {
 	name    sqid.DaemonID
@@ -80,7 +85,7 @@
 	pool := new(sqpeer.Pool)
 	entry := &sqentry.Entry{
 		Daemon: name, Lists: f.lists, Router: newRouter(f.known), Gate: n.gate, Conns: pool, Calls: calls,
-		Charger: openCharger{}, Metrics: f.metric, Logger: logr.Discard(), Stopping: func() bool { return false },
+		Charger: openCharger{}, Operations: noOperations{}, Metrics: f.metric, Logger: logr.Discard(), Stopping: func() bool { return false },
 	}
 	server := sqpeer.NewServer()
 	(&sqgate.Server{Gate: n.gate}).Register(server)
