--- a/cmd/sequoia-standin/main.go
+++ b/cmd/sequoia-standin/main.go
@@ -15,6 +15,11 @@
 // subcommands lists what the program can do, each from a file of its own.
 var subcommands = []func() *cobra.Command{
 	newPlatform,
+	newTarget,
+	newLoad,
+	newDemo,
+	newExperiment,
+	newChaos,
 }
 
 func main() {
--- a/internal/base/sqerror/error.go
+++ b/internal/base/sqerror/error.go
@@ -42,7 +42,7 @@
 	Reason sqreason.Refusal
 	// Run says whether the request has run.
 	Run squnit.RunState
-	// RetryAfter is when a repeat may succeed, zero if that is not known.
+	// RetryAfter is when a refused request may be sent again, 0 if unknown.
 	RetryAfter time.Duration
 	// Err is the cause; it may be nil.
 	Err error
--- a/internal/base/sqsettings/check.go
+++ b/internal/base/sqsettings/check.go
@@ -57,6 +57,10 @@
 	add("stopTimeout", checkPositive(s.StopTimeout))
 	add("staleListsAfter", checkNotNegative(s.StaleListsAfter))
 	add("log.level", checkLevel(s.Log.Level))
+	if s.LinkBytesPerSecond < 0 {
+		add("linkBytesPerSecond", errors.Errorf("%d must not be negative", s.LinkBytesPerSecond))
+	}
+	add("policy", checkPolicy(s.Policy))
 	add("(addresses)", s.checkDistinct())
 	return faults
 }
@@ -123,3 +127,11 @@
 	}
 	return errors.Errorf("%q is none of debug, info, warn, error", level)
 }
+
+func checkPolicy(p Policy) error {
+	switch p {
+	case PolicyFull, PolicyFixed, PolicyNone:
+		return nil
+	}
+	return errors.Errorf("%q is none of full, fixed, none", p)
+}
