Prove the membership under drawn faults and notice silent data centres

Cause: the drawn faults (TestFaults) found that a lone daemon of a data centre was never held for dead, as only its own data centre probes a daemon. Relays now also ask through third data centres, and suspect the daemons of a data centre that stays silent: a lone one after 10 s, several after 10 minutes, so that a cut of minutes buries nobody.

--- a/internal/state/sqmember/accept.go
+++ b/internal/state/sqmember/accept.go
@@ -68,7 +68,7 @@
 // hearsay says whether r is a death that another daemon merely holds, perhaps
 // from when the fleet was cut in two. The daemon gets the time to refute it.
 func (m *Member) hearsay(r, old Row, src source) bool {
-	return src.exchange && r.State == Dead && old.live() &&
+	return !m.off.hearsay && src.exchange && r.State == Dead && old.live() &&
 		r.Incarnation == old.Incarnation && r.DataCentre == m.self.DataCentre
 }
 
--- a/internal/state/sqmember/member.go
+++ b/internal/state/sqmember/member.go
@@ -87,6 +87,15 @@
 	hinted   map[sqid.DaemonID]time.Time
 	leaving  bool
 	replaced sqid.Incarnation
+	off      switches
+}
+
+// switches turn mechanisms off, to show in tests what they are for.
+type switches struct {
+	// repair is the comparing of digests.
+	repair bool
+	// hearsay is the time to refute a death that another merely holds.
+	hearsay bool
 }
 
 // Periods are the times of the protocol.
--- a/internal/state/sqmember/network_test.go
+++ b/internal/state/sqmember/network_test.go
@@ -21,6 +21,11 @@
 	// near and far are the delays within and between data centres; a message
 	// takes one to two of them.
 	near, far time.Duration
+	// skew is added to the clock that a started daemon takes its
+	// incarnation from.
+	skew time.Duration
+	// off is what the daemons started from now on do without.
+	off switches
 
 	now    time.Time
 	rand   *rand.Rand
@@ -39,7 +44,9 @@
 	held   []func()
 	// bytes counts those sent and received, with 28 for each header.
 	bytes int
-	facts map[string]map[uint64]time.Time
+	// seen has the versions of the fact "lists" in the order of OnFact.
+	seen     []uint64
+	replaced int
 }
 
 type event struct {
@@ -72,16 +79,22 @@
 // add starts a daemon, in place of one with its name if there was one. It
 // joins through join.
 func (n *network) add(name, dc string, join ...*node) *node {
-	addr := "addr-" + name
-	v := &node{name: name, facts: make(map[string]map[uint64]time.Time)}
+	return n.addAt("addr-"+name, name, dc, join...)
+}
+
+func (n *network) addAt(addr, name, dc string, join ...*node) *node {
+	v := &node{name: name}
 	v.Member = &Member{
 		Fleet: "test", Rand: rand.New(rand.NewPCG(n.rand.Uint64(), 2)),
 		Local: Row{
 			ID: sqid.DaemonID(name), DataCentre: sqid.DataCentreID(dc), Region: "r", PeerAddress: addr,
-			CallerAddress: "10.0.0.1:8000", Incarnation: sqid.Incarnation(n.now.UnixMilli()),
+			CallerAddress: "10.0.0.1:8000", Incarnation: sqid.Incarnation(n.now.Add(n.skew).UnixMilli()),
 		},
 	}
+	v.OnReplaced = func(Row) { v.replaced++ }
 	v.Wake = func() { n.later(0, func() { n.send(v, v.Flush(n.now)) }) }
+	v.off = n.off
+	v.OnFact("lists", func(version uint64, _ []byte) { v.seen = append(v.seen, version) })
 	if old := n.at[addr]; old != nil {
 		n.nodes = slices.DeleteFunc(n.nodes, func(o *node) bool { return o == old })
 	}
@@ -281,6 +294,11 @@
 // alive, at the newest incarnation and version.
 func (n *network) agree() bool {
 	running := n.running()
+	for _, v := range running {
+		if v.view.digest != running[0].view.digest {
+			return false
+		}
+	}
 	for _, v := range running {
 		live := 0
 		for _, o := range running {
--- a/internal/state/sqmember/probe.go
+++ b/internal/state/sqmember/probe.go
@@ -37,12 +37,13 @@
 
 // probe is one that waits for its answer.
 type probe struct {
-	seq    uint32
-	target sqid.DaemonID
-	ackBy  time.Time
-	endBy  time.Time
-	asked  int
-	nacks  int
+	seq     uint32
+	target  sqid.DaemonID
+	ackBy   time.Time
+	endBy   time.Time
+	late    bool
+	helpers int
+	nacks   int
 }
 
 // help is a ping made for another daemon.
@@ -94,7 +95,7 @@
 		switch {
 		case !m.now.Before(p.endBy):
 			m.failed(p)
-		case p.asked == 0 && !m.now.Before(p.ackBy):
+		case !p.late && !m.now.Before(p.ackBy):
 			m.askHelpers(p)
 		}
 	}
@@ -102,7 +103,7 @@
 		m.probes.next = m.now.Add(m.randomSpan(m.Periods.Probe))
 	}
 	if !m.now.Before(m.probes.next) {
-		m.probes.next = m.now.Add(m.probes.slowed(m.Periods.Probe))
+		m.probes.next = m.now.Add(m.Periods.Probe)
 		if id, ok := m.nextTarget(); ok {
 			m.probe(id)
 		}
@@ -171,13 +172,13 @@
 		d.Seq, d.Target = p.seq, string(p.target)
 		m.send(r.PeerAddress, d)
 	}
-	// Without helpers there is nothing more to wait for than the end.
-	p.asked = max(len(peers), 1)
+	p.late, p.helpers = true, len(peers)
 }
 
 func (m *Member) failed(p *probe) {
 	m.probes.pending = slices.DeleteFunc(m.probes.pending, func(o *probe) bool { return o == p })
-	if p.nacks == 0 {
+	// Helpers that live say so; that none did shows a fault here.
+	if p.helpers > 0 && p.nacks == 0 {
 		m.probes.worsen()
 	}
 	if r, ok := m.rows.Get(p.target); ok && r.live() {
@@ -253,15 +254,19 @@
 		return
 	}
 	m.probes.revisit = m.now.Add(revisitPeriod)
+	if dead := m.deadOf(m.self.DataCentre); len(dead) > 0 {
+		m.ping(dead[m.Rand.IntN(len(dead))], m.probes.nextSeq())
+	}
+}
+
+// deadOf returns the dead daemons of a data centre, in order of id.
+func (m *Member) deadOf(dc sqid.DataCentreID) []Row {
 	var dead []Row
 	for id := range m.view.gone {
-		if r, ok := m.rows.Get(id); ok && r.State == Dead && r.DataCentre == m.self.DataCentre {
+		if r, ok := m.rows.Get(id); ok && r.State == Dead && r.DataCentre == dc {
 			dead = append(dead, r)
 		}
 	}
-	if len(dead) == 0 {
-		return
-	}
 	slices.SortFunc(dead, func(a, b Row) int { return compareID(a.ID, b.ID) })
-	m.ping(dead[m.Rand.IntN(len(dead))], m.probes.nextSeq())
+	return dead
 }
--- a/internal/state/sqmember/relay.go
+++ b/internal/state/sqmember/relay.go
@@ -12,8 +12,14 @@
 const (
 	// relaysEach is the number of relays in a data centre.
 	relaysEach = 2
-	// farAck is the time to wait for an answer from another data centre.
+	// farAck is the time to wait for an answer from another data centre, and
+	// again for one through a third.
 	farAck = time.Second
+	// silentSingle and silentMost are the times without any answer after
+	// which the daemons of another data centre become suspect: of a lone
+	// daemon, that no other there can probe, and of several.
+	silentSingle = 10 * time.Second
+	silentMost   = 10 * time.Minute
 )
 
 // relayer speaks with the other data centres while this daemon is a relay.
@@ -29,8 +35,12 @@
 type far struct {
 	next   time.Time
 	seq    uint32
+	target sqid.DaemonID
 	waitBy time.Time
+	asked  bool
 	missed int
+	// silent is when the first ping was sent that found no answer.
+	silent time.Time
 }
 
 func (l *relayer) at(dc sqid.DataCentreID) *far {
@@ -46,14 +56,19 @@
 func (l *relayer) answered(seq uint32) {
 	for _, f := range l.far {
 		if f.seq == seq {
-			f.seq, f.missed = 0, 0
+			f.heard()
 		}
 	}
 }
 
+func (f *far) heard() {
+	f.seq, f.missed, f.silent = 0, 0, time.Time{}
+}
+
+// forgetWaits drops what may have been missed in a pause.
 func (l *relayer) forgetWaits() {
 	for _, f := range l.far {
-		f.seq = 0
+		f.heard()
 	}
 }
 
@@ -87,14 +102,13 @@
 			continue
 		}
 		f := m.relays.at(dc)
-		if f.seq != 0 && !m.now.Before(f.waitBy) {
-			f.seq = 0
-			f.missed++
-		}
 		if f.next.IsZero() {
 			f.next = m.now.Add(m.randomSpan(m.Periods.Relay))
 		}
-		if !m.now.Before(f.next) {
+		if f.seq != 0 && !m.now.Before(f.waitBy) {
+			m.unanswered(dc, f)
+		}
+		if f.seq == 0 && !m.now.Before(f.next) {
 			f.next = m.now.Add(m.Periods.Relay)
 			m.probeFar(dc, f)
 		}
@@ -108,13 +122,16 @@
 	if !ok {
 		return
 	}
-	f.seq = m.probes.nextSeq()
+	f.seq, f.target, f.asked = m.probes.nextSeq(), r.ID, false
 	f.waitBy = m.now.Add(farAck)
 	d := m.withDigests(m.datagram(sqmemberwire.Kind_KIND_PING))
 	d.Seq, d.Target = f.seq, string(r.ID)
+	m.tell(d, r.ID, r.Incarnation)
 	m.out = append(m.out, Send{Address: r.PeerAddress, Datagram: d})
 }
 
+// farDaemon picks a relay, or another daemon if the relays don't answer, or
+// a dead one if no other is left.
 func (m *Member) farDaemon(dc sqid.DataCentreID, f *far) (Row, bool) {
 	relays := m.relaysOf(dc)
 	if f.missed == 0 && len(relays) > 0 {
@@ -123,9 +140,52 @@
 	for _, id := range sample(m.Rand, m.view.ranked(dc), 1, m.isSelf) {
 		return m.rows.Get(id)
 	}
+	if dead := m.deadOf(dc); len(dead) > 0 {
+		return dead[m.Rand.IntN(len(dead))], true
+	}
 	return Row{}, false
 }
 
+// unanswered has third data centres ask in this one's place, and then takes
+// note of the silence.
+func (m *Member) unanswered(dc sqid.DataCentreID, f *far) {
+	if !f.asked && m.askAcross(dc, f) {
+		f.asked = true
+		f.waitBy = m.now.Add(farAck)
+		return
+	}
+	f.seq = 0
+	f.missed++
+	if f.silent.IsZero() {
+		f.silent = m.now
+	}
+	limit := silentMost
+	if len(m.view.ranked(dc)) == 1 {
+		limit = silentSingle
+	}
+	r, ok := m.rows.Get(f.target)
+	if ok && r.State == Alive && m.now.Sub(f.silent) >= limit {
+		m.suspect(r, m.self.ID)
+	}
+}
+
+// askAcross asks relays of other data centres to ping the daemon that does
+// not answer.
+func (m *Member) askAcross(dc sqid.DataCentreID, f *far) bool {
+	asked := 0
+	for _, other := range m.view.order {
+		relays := m.relaysOf(other)
+		if other == dc || other == m.self.DataCentre || len(relays) == 0 || asked == helpers {
+			continue
+		}
+		d := m.datagram(sqmemberwire.Kind_KIND_PING_REQUEST)
+		d.Seq, d.Target = f.seq, string(f.target)
+		m.out = append(m.out, Send{Address: relays[0].PeerAddress, Datagram: d})
+		asked++
+	}
+	return asked > 0
+}
+
 // pushAcross sends the news of this data centre to one relay of each other.
 func (m *Member) pushAcross() {
 	news := m.relays.across
--- a/internal/state/sqmember/repair.go
+++ b/internal/state/sqmember/repair.go
@@ -50,7 +50,7 @@
 func (m *Member) compare(address string, d *sqmemberwire.Datagram) {
 	rows := m.differs(&m.repair.rows, d.GetRowsDigest() == m.view.digest, m.view.changed, d.GetRowsSettled(), rowsSettle)
 	facts := m.differs(&m.repair.facts, d.GetFactsDigest() == m.facts.digest, m.facts.changed, d.GetFactsSettled(), factsSettle)
-	if (!rows && !facts) || m.now.Before(m.repair.next) {
+	if (!rows && !facts) || m.now.Before(m.repair.next) || m.off.repair {
 		return
 	}
 	m.repair.next = m.now.Add(exchangePeriod + m.randomSpan(exchangePeriod))
--- /dev/null
+++ b/internal/state/sqmember/script_test.go
@@ -0,0 +1,190 @@
+package sqmember
+
+import (
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/tools/txtar"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
+)
+
+// script runs the lines of a case against a fleet.
+type script struct {
+	*qt.C
+	n    *network
+	line string
+}
+
+// TestScripts runs the cases of testdata/*.txtar. A file of the archive is a
+// case; TestScripts/FILE/CASE names it.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, files, qt.Not(qt.HasLen), 0)
+	for _, file := range files {
+		archive, err := txtar.ParseFile(file)
+		qt.Assert(t, err, qt.IsNil)
+		for _, f := range archive.Files {
+			name := strings.TrimSuffix(filepath.Base(file), ".txtar") + "/" + f.Name
+			t.Run(name, func(t *testing.T) {
+				s := &script{C: qt.New(t), n: newNetwork(1)}
+				for line := range strings.Lines(string(f.Data)) {
+					s.run(strings.TrimSpace(line))
+				}
+			})
+		}
+	}
+}
+
+func (s *script) run(line string) {
+	s.line = line
+	args := strings.Fields(line)
+	if len(args) == 0 || args[0] == "#" {
+		return
+	}
+	command, ok := commands[args[0]]
+	s.Assert(ok, qt.IsTrue, qt.Commentf("unknown command in %q", line))
+	command(s, args[1:])
+}
+
+// commands are what a line may begin with.
+var commands = map[string]func(s *script, args []string){
+	// fleet DC/SIZE... starts daemons DC1, DC2, ... and awaits that they agree.
+	"fleet": func(s *script, args []string) {
+		sizes := make(map[string]int)
+		for _, a := range args {
+			dc, size, _ := strings.Cut(a, "/")
+			sizes[dc] = s.int(size)
+		}
+		s.n.fleet(sizes)
+		s.within("1m", s.n.agree)
+	},
+	"loss":   func(s *script, args []string) { s.n.loss = float64(s.int(args[0])) / 100 },
+	"double": func(s *script, args []string) { s.n.double = float64(s.int(args[0])) / 100 },
+	"skew":   func(s *script, args []string) { s.n.skew = s.span(args[0]) },
+	"run":    func(s *script, args []string) { s.n.run(s.span(args[0]), nil) },
+	// cut A,B|C,D cuts daemons or data centres from each other.
+	"cut": func(s *script, args []string) {
+		left, right, _ := strings.Cut(args[0], "|")
+		s.n.cuts = append(s.n.cuts, func(a, b *node) bool { return in(a, left) && in(b, right) })
+	},
+	"heal":   func(s *script, _ []string) { s.n.cuts = nil },
+	"kill":   func(s *script, args []string) { s.node(args[0]).dead = true },
+	"pause":  func(s *script, args []string) { s.node(args[0]).paused = true },
+	"resume": func(s *script, args []string) { s.n.resume(s.node(args[0])) },
+	// start NAME DC SEED starts a daemon, perhaps again.
+	"start": func(s *script, args []string) { s.n.add(args[0], args[1], s.node(args[2])) },
+	// twin NAME DC SEED starts a second daemon with a name, called NAME-twin.
+	"twin": func(s *script, args []string) {
+		s.n.addAt("addr-"+args[0]+"-twin", args[0], args[1], s.node(args[2]))
+	},
+	"leave": func(s *script, args []string) { s.node(args[0]).Leave() },
+	"target": func(s *script, args []string) {
+		id := sqtarget.ID{Target: sqid.TargetID(args[1])}
+		s.Assert(s.node(args[0]).SetTarget(sqtarget.Row{ID: id, Service: "orders", Slots: 4}), qt.IsNil)
+	},
+	"drain":   func(s *script, args []string) { s.node(args[0]).Drain(sqid.TargetID(args[1])) },
+	"remove":  func(s *script, args []string) { s.node(args[0]).RemoveTarget(sqid.TargetID(args[1])) },
+	"suspect": func(s *script, args []string) { s.node(args[0]).Suspect(sqid.DaemonID(args[1])) },
+	// publish NAME VERSION BYTES publishes the fact "lists".
+	"publish": func(s *script, args []string) {
+		body := make([]byte, s.int(args[2]))
+		_, err := s.node(args[0]).Publish("lists", uint64(s.int(args[1])), body)
+		s.Assert(err, qt.IsNil)
+	},
+	// expect WHAT ARGS... within SPAN
+	"expect": func(s *script, args []string) {
+		what, ok := expectations[args[0]]
+		s.Assert(ok && len(args) > 2 && args[len(args)-2] == "within", qt.IsTrue, qt.Commentf("%q", s.line))
+		s.within(args[len(args)-1], func() bool { return what(s, args[1:len(args)-2]) })
+	},
+}
+
+// expectations are what can be awaited of all running daemons.
+var expectations = map[string]func(s *script, args []string) bool{
+	"agree": func(s *script, _ []string) bool { return s.n.agree() },
+	// unused NAME: its targets are used by no one.
+	"unused": func(s *script, args []string) bool { return s.n.unused(sqid.DaemonID(args[0])) },
+	"used":   func(s *script, args []string) bool { return !s.n.unused(sqid.DaemonID(args[0])) },
+	// target NAME TARGET STATE DC: all of a data centre see it as open,
+	// draining or gone.
+	"target": func(s *script, args []string) bool {
+		id := sqtarget.ID{Daemon: sqid.DaemonID(args[0]), Target: sqid.TargetID(args[1])}
+		for _, v := range s.n.running() {
+			row, ok := v.Targets.Get(id)
+			state := "open"
+			if !ok {
+				state = "gone"
+			} else if row.Draining {
+				state = "draining"
+			}
+			if in(v, args[3]) && state != args[2] {
+				return false
+			}
+		}
+		return true
+	},
+	"fact": func(s *script, args []string) bool {
+		return s.n.know("lists", uint64(s.int(args[0]))) == len(s.n.running())
+	},
+	"watchers": func(s *script, args []string) bool {
+		count := 0
+		for _, v := range s.n.running() {
+			if in(v, args[0]) && v.Watcher() {
+				count++
+			}
+		}
+		return count == s.int(args[1])
+	},
+	// replaced NAME COUNT: it was told so often that its name is taken.
+	"replaced": func(s *script, args []string) bool { return s.node(args[0]).replaced == s.int(args[1]) },
+	// address NAME ADDRESS: where all others find a daemon.
+	"address": func(s *script, args []string) bool {
+		for _, v := range s.n.running() {
+			if r, _ := v.Row(sqid.DaemonID(args[0])); r.PeerAddress != args[1] && v.name != args[0] {
+				return false
+			}
+		}
+		return true
+	},
+}
+
+func (s *script) within(span string, what func() bool) {
+	took, ok := s.n.run(s.span(span), what)
+	s.Logf("%s: %v", s.line, took)
+	s.Assert(ok, qt.IsTrue, qt.Commentf("%q was not met; seed 1", s.line))
+}
+
+func (s *script) node(name string) *node {
+	v := s.n.node(name)
+	s.Assert(v, qt.IsNotNil, qt.Commentf("no daemon in %q", s.line))
+	return v
+}
+
+func (s *script) int(text string) int {
+	n, err := strconv.Atoi(strings.TrimSuffix(text, "%"))
+	s.Assert(err, qt.IsNil, qt.Commentf("%q", s.line))
+	return n
+}
+
+func (s *script) span(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	s.Assert(err, qt.IsNil, qt.Commentf("%q", s.line))
+	return d
+}
+
+// in says whether a daemon or its data centre is in a list.
+func in(v *node, list string) bool {
+	for name := range strings.SplitSeq(list, ",") {
+		if name == v.name || name == string(v.Local.DataCentre) || name == "all" {
+			return true
+		}
+	}
+	return false
+}
