--- a/internal/base/sqreason/reason.go
+++ b/internal/base/sqreason/reason.go
@@ -24,6 +24,7 @@
 	ShedDeadline       Refusal = "shed-deadline"
 	ShedDeeper         Refusal = "shed-deeper"
 	ShedByTarget       Refusal = "shed-by-target"
+	TargetUnknown      Refusal = "target-unknown"
 	TargetNone         Refusal = "target-none"
 	TargetDraining     Refusal = "target-draining"
 	TargetUnreachable  Refusal = "target-unreachable"
@@ -39,6 +40,7 @@
 	OperationUnknown   Refusal = "operation-unknown"
 	OperationExpired   Refusal = "operation-expired"
 	OperationMismatch  Refusal = "operation-mismatch"
+	OperationBookFull  Refusal = "operation-book-full"
 	OperationHomeAway  Refusal = "operation-home-away"
 	Stopping           Refusal = "stopping"
 	DepthExceeded      Refusal = "depth-exceeded"
@@ -63,6 +65,7 @@
 	ShedDeadline:      http.StatusServiceUnavailable,
 	ShedDeeper:        http.StatusServiceUnavailable,
 	ShedByTarget:      http.StatusServiceUnavailable,
+	TargetUnknown:     http.StatusNotFound,
 	TargetNone:        http.StatusServiceUnavailable,
 	TargetDraining:    http.StatusServiceUnavailable,
 	TargetUnreachable: http.StatusServiceUnavailable,
@@ -78,6 +81,7 @@
 	OperationUnknown:  http.StatusBadGateway,
 	OperationExpired:  http.StatusConflict,
 	OperationMismatch: http.StatusUnprocessableEntity,
+	OperationBookFull: http.StatusServiceUnavailable,
 	OperationHomeAway: http.StatusServiceUnavailable,
 	Stopping:          http.StatusServiceUnavailable,
 	DepthExceeded:     http.StatusLoopDetected,
@@ -117,6 +121,7 @@
 	NoRetryServiceShed  Retry = "service-shed"
 	NoRetryNoOtherPlace Retry = "no-other-target"
 	NoRetryBodySpent    Retry = "body-spent"
+	NoRetryFinal        Retry = "final"
 )
 
 // Retries returns every reason of the vocabulary.
@@ -124,6 +129,6 @@
 	return []Retry{
 		RetryNotRun, RetryIdempotent, RetryPeerDown, RetryShedOnce,
 		NoRetryCredit, NoRetryBudget, NoRetryDeadline, NoRetryUncertain,
-		NoRetryServiceShed, NoRetryNoOtherPlace, NoRetryBodySpent,
+		NoRetryServiceShed, NoRetryNoOtherPlace, NoRetryBodySpent, NoRetryFinal,
 	}
 }
