Keep a bounded seed record for each data centre in the platform

A daemon without seedPeers must find its first peers, and separated groups must find each other again, with platform load that does not grow with daemons. Watchers keep at most 8 addresses by compare-and-swap and write only once fewer than half of the addresses a record could hold are of daemons alive; daemons read it while they are alone, watchers once a minute.

Ruled out: a lease for each daemon's own record, as writes would grow with the fleet.

--- /dev/null
+++ b/internal/edge/sqgossip/seeding.go
@@ -0,0 +1,181 @@
+package sqgossip
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqmember"
+)
+
+const (
+	// SeedPrefix begins the keys of the seed records; the name of the data
+	// centre follows.
+	SeedPrefix = "sequoiatack/seeds/"
+	// seedsMost bounds the addresses of a record.
+	seedsMost = 8
+	// lookPeriod is the time between two looks at the membership.
+	lookPeriod = time.Second
+	// readPeriod is the time between two reads of a record that need not
+	// change.
+	readPeriod = 60 * time.Second
+	// retryPeriod is the time to the next try while the platform is out.
+	retryPeriod = 10 * time.Second
+)
+
+// SeedStore is the part of the platform's service that holds seed records.
+type SeedStore interface {
+	Get(ctx context.Context, key string) (sqplatform.Record, error)
+	List(ctx context.Context, prefix string) ([]sqplatform.Record, sqplatform.Version, error)
+	Swap(ctx context.Context, key string, expected sqplatform.Version, value []byte, lease sqplatform.LeaseID) (sqplatform.Version, error)
+}
+
+// Seeding finds first peers in the platform's seed records and keeps the
+// record of the daemon's data centre. Only daemons that are alone and the
+// watchers read the records, and only watchers write.
+type Seeding struct {
+	Member *sqmember.Member
+	Store  SeedStore
+	Logger logr.Logger
+
+	held    []string
+	version sqplatform.Version
+	next    time.Time
+}
+
+// seedRecord is the value of a seed record.
+type seedRecord struct {
+	Peers []string `json:"peers"`
+}
+
+// parseSeeds returns the addresses of a record, without those that are none.
+func parseSeeds(value []byte) []string {
+	var record seedRecord
+	if err := json.Unmarshal(value, &record); err != nil {
+		return nil
+	}
+	peers := slices.DeleteFunc(record.Peers, func(a string) bool {
+		_, err := netip.ParseAddrPort(a)
+		return err != nil
+	})
+	return peers[:min(len(peers), seedsMost)]
+}
+
+// Seeds returns the addresses of all data centres' records. It returns none
+// to a daemon that neither is alone nor watches the platform.
+func (s *Seeding) Seeds(ctx context.Context) ([]string, error) {
+	if !s.Member.Alone() && !s.Member.Watcher() {
+		return nil, nil
+	}
+	records, _, err := s.Store.List(ctx, SeedPrefix)
+	if err != nil {
+		return nil, sqerror.At(sqerror.StepPlatform, s.Member.Self().ID, errors.Wrap(err, "list seed records"))
+	}
+	var peers []string
+	for _, r := range records {
+		peers = append(peers, parseSeeds(r.Value)...)
+	}
+	return peers, nil
+}
+
+// Run keeps the data centre's record until ctx ends. Its error is nil.
+func (s *Seeding) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(jittered(lookPeriod)):
+			s.look(ctx, time.Now())
+		}
+	}
+}
+
+// look reads the record if that is due or the record held needs a change,
+// and changes it if it still does.
+func (s *Seeding) look(ctx context.Context, now time.Time) {
+	if !s.Member.Watcher() {
+		s.next = time.Time{}
+		return
+	}
+	if _, change := s.plan(); now.Before(s.next) && (!change || s.version == 0) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, seedsTimeout)
+	defer cancel()
+	s.next = now.Add(jittered(readPeriod))
+	if err := s.keep(ctx); err != nil {
+		s.version = 0
+		s.next = now.Add(jittered(retryPeriod))
+		s.Logger.Info("keep the seed record", "error", err.Error())
+	}
+}
+
+func (s *Seeding) keep(ctx context.Context) error {
+	key := SeedPrefix + string(s.dataCentre())
+	r, err := s.Store.Get(ctx, key)
+	if err != nil {
+		return errors.Wrap(err, "read")
+	}
+	s.held, s.version = parseSeeds(r.Value), r.Version
+	peers, change := s.plan()
+	if !change {
+		return nil
+	}
+	value, err := json.Marshal(seedRecord{Peers: peers})
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	version, err := s.Store.Swap(ctx, key, r.Version, value, 0)
+	if errors.Is(err, sqplatform.ErrConflict) {
+		// The other watcher was first; the next look reads what it wrote.
+		s.next = time.Time{}
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "write")
+	}
+	s.held, s.version = peers, version
+	return nil
+}
+
+func (s *Seeding) plan() ([]string, bool) {
+	var alive []string
+	for _, r := range s.Member.Alive(s.dataCentre()) {
+		alive = append(alive, r.PeerAddress)
+	}
+	return planSeeds(s.held, alive)
+}
+
+func (s *Seeding) dataCentre() sqid.DataCentreID {
+	return s.Member.Self().DataCentre
+}
+
+// planSeeds returns what a record should hold, and whether it must change:
+// it must once fewer than half of the addresses that it could hold are of
+// daemons alive. Those that are stay.
+func planSeeds(held, alive []string) ([]string, bool) {
+	var usable []string
+	for _, a := range held {
+		if slices.Contains(alive, a) && !slices.Contains(usable, a) {
+			usable = append(usable, a)
+		}
+	}
+	could := min(len(alive), seedsMost)
+	if 2*len(usable) >= could {
+		return held, false
+	}
+	for _, a := range alive {
+		if len(usable) < could && !slices.Contains(usable, a) {
+			usable = append(usable, a)
+		}
+	}
+	return usable, true
+}
