--- a/internal/edge/sqgossip/seeding.go
+++ b/internal/edge/sqgossip/seeding.go
@@ -147,6 +147,9 @@
 }
 
 func (s *Seeding) plan() ([]string, bool) {
+	if s.Member.Alone() {
+		return planAlone(s.held, s.Member.Self().PeerAddress)
+	}
 	var alive []string
 	for _, r := range s.Member.Alive(s.dataCentre()) {
 		alive = append(alive, r.PeerAddress)
@@ -158,6 +161,16 @@
 	return s.Member.Self().DataCentre
 }
 
+// planAlone returns what a record should hold for a daemon that knows no
+// other: itself beside those that it has not reached yet.
+func planAlone(held []string, self string) ([]string, bool) {
+	if slices.Contains(held, self) {
+		return held, false
+	}
+	peers := append(slices.Clone(held), self)
+	return peers[max(0, len(peers)-seedsMost):], true
+}
+
 // planSeeds returns what a record should hold, and whether it must change:
 // it must once fewer than half of the addresses that it could hold are of
 // daemons alive. Those that are stay.
--- a/internal/edge/sqgossip/transport_test.go
+++ b/internal/edge/sqgossip/transport_test.go
@@ -45,6 +45,11 @@
 }
 
 func start(c *qt.C, name, dc string, seeds ...string) *peer {
+	return startWith(c, name, dc, nil, seeds...)
+}
+
+// startWith starts a daemon that also finds first peers in a platform.
+func startWith(c *qt.C, name, dc string, store SeedStore, seeds ...string) *peer {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	address := l.Addr().String()
@@ -59,12 +64,19 @@
 			PeerAddress: address, CallerAddress: address, Incarnation: sqid.Incarnation(time.Now().UnixMilli()),
 		},
 	}
+	seeding := &Seeding{Member: t.Member, Store: store, Logger: logr.Discard()}
+	if store != nil {
+		t.Seeds = append(t.Seeds, seeding)
+	}
 	s := grpc.NewServer()
 	t.Register(s)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = s.Serve(l) })
 	wg.Go(func() { c.Check(t.Run(ctx), qt.IsNil) })
+	if store != nil {
+		wg.Go(func() { c.Check(seeding.Run(ctx), qt.IsNil) })
+	}
 	p := &peer{Transport: t, stop: sync.OnceFunc(func() { cancel(); s.Stop(); wg.Wait() })}
 	c.Cleanup(p.stop)
 	return p
