--- a/internal/policy/sqadmit/call.go
+++ b/internal/policy/sqadmit/call.go
@@ -68,8 +68,10 @@
 	OK Outcome = iota
 	// Shed is a target's answer that it has not run the call.
 	Shed
-	// Failed is a broken connection, a cut answer or a deadline passed.
+	// Failed is a broken connection, or a cut answer.
 	Failed
+	// Cancelled is a call that its caller gave up.
+	Cancelled
 )
 
 // Result is what the gate measured of a call that held a slot.
@@ -82,16 +84,17 @@
 	Nested time.Duration
 }
 
-// Load is the state of a gate as seen by one workspace and importance.
+// Load is the state of a gate as seen by one workspace.
 type Load struct {
-	// Level is the lowest importance of which any call is admitted.
-	Level    squnit.Importance
-	InFlight int
-	Limit    int
-	Queued   int
+	// Level is the lowest importance of which any call is admitted. All of
+	// those above it are.
+	Level squnit.Importance
+	// Share is the part of the workspace's calls of importance Level that
+	// there is room for, All that of all workspaces'.
+	Share, All squnit.Share
+	InFlight   int
+	Limit      int
+	Queued     int
 	// Usual is the usual time of a call, 0 if none has ended.
 	Usual time.Duration
-	// Share is the part of calls of the workspace and importance that there
-	// is room for.
-	Share squnit.Share
 }
--- a/internal/policy/sqadmit/demand.go
+++ b/internal/policy/sqadmit/demand.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	// demandSpan is the time constant of the demand's average.
-	demandSpan = 200 * time.Millisecond
 	// minShare bounds what one call may stand for.
 	minShare = 0.01
 	// idleDemand is the rate, in calls a second, below which a class is
 	// forgotten.
 	idleDemand = 0.01
+	// roundOff is the part of a demand that is taken for an error of rounding.
+	roundOff = 1e-9
 )
 
 type classKey struct {
@@ -41,11 +41,15 @@
 // (core-stateless fair queueing, Stoica 1998, does so with labels on packets).
 type demand struct {
 	classes map[classKey]*class
+	// level is the lowest importance with room, all the part of its calls
+	// that there is room for.
 	level   squnit.Importance
+	all     float64
 	scratch []*class
 }
 
-func (d *demand) add(now time.Time, c *Call) {
+// add counts an offered call; span is the time constant of the average.
+func (d *demand) add(now time.Time, span time.Duration, c *Call) {
 	if d.classes == nil {
 		d.classes = make(map[classKey]*class)
 	}
@@ -56,8 +60,8 @@
 		d.classes[key] = row
 	}
 	row.weight = cmp.Or(math.Max(0, float64(c.Weight)), 1)
-	row.decay(now)
-	row.rate += 1 / shareOf(c) / demandSpan.Seconds()
+	row.decay(now, span)
+	row.rate += 1 / shareOf(c) / span.Seconds()
 }
 
 func shareOf(c *Call) float64 {
@@ -67,18 +71,43 @@
 	return math.Max(minShare, float64(c.Share))
 }
 
-func (c *class) decay(now time.Time) {
+func (c *class) decay(now time.Time, span time.Duration) {
 	if dt := now.Sub(c.at); dt > 0 {
-		c.rate *= math.Exp(-float64(dt) / float64(demandSpan))
+		c.rate *= math.Exp(-float64(dt) / float64(span))
 		c.at = now
 	}
 }
 
 // divide sets each class's share of a capacity in calls a second.
-func (d *demand) divide(now time.Time, capacity float64) {
+func (d *demand) divide(now time.Time, span time.Duration, capacity float64) {
+	d.collect(now, span)
+	d.level, d.all = squnit.ImportanceCritical, 1
+	for rest := d.scratch; len(rest) > 0; {
+		n := 1
+		for n < len(rest) && rest[n].key.importance == rest[0].key.importance {
+			n++
+		}
+		if capacity > 0 {
+			d.level = rest[0].key.importance
+		}
+		left, all := fill(rest[:n], capacity)
+		if capacity > 0 || n == len(d.scratch) {
+			d.all = all
+		}
+		capacity = left
+		rest = rest[n:]
+	}
+	if capacity > 0 {
+		d.level, d.all = squnit.ImportanceLow, 1
+	}
+}
+
+// collect brings all classes to now and orders them by importance, then by
+// rate for weight.
+func (d *demand) collect(now time.Time, span time.Duration) {
 	d.scratch = d.scratch[:0]
 	for key, c := range d.classes {
-		c.decay(now)
+		c.decay(now, span)
 		if c.rate < idleDemand {
 			delete(d.classes, key)
 			continue
@@ -92,56 +121,44 @@
 			cmp.Compare(a.key.workspace, b.key.workspace),
 		)
 	})
-	d.level = squnit.ImportanceLow
-	for rest := d.scratch; len(rest) > 0; {
-		n := 1
-		for n < len(rest) && rest[n].key.importance == rest[0].key.importance {
-			n++
-		}
-		if capacity > 0 {
-			d.level = rest[0].key.importance
-		}
-		capacity = fill(rest[:n], capacity)
-		rest = rest[n:]
-	}
-	if capacity > 0 {
-		d.level = squnit.ImportanceLow
-	}
 }
 
 // fill divides capacity between the classes of one importance, which are in
-// order of rate for weight, and returns what is left.
-func fill(classes []*class, capacity float64) float64 {
-	var weights float64
+// order of rate for weight. It returns what is left and the part of all their
+// calls that there is room for.
+func fill(classes []*class, capacity float64) (left, all float64) {
+	var weights, wanted, given float64
 	for _, c := range classes {
 		weights += c.weight
+		wanted += c.rate
 	}
 	for _, c := range classes {
 		fair := math.Max(0, capacity) * c.weight / weights
 		got := math.Min(c.rate, fair)
 		c.share = got / c.rate
+		given += got
 		capacity -= got
 		weights -= c.weight
 	}
-	return capacity
+	if given < wanted*(1-roundOff) {
+		capacity = math.Min(capacity, 0)
+	}
+	return capacity, given / wanted
 }
 
 // admitAll sets every share to 1.
 func (d *demand) admitAll() {
-	d.level = squnit.ImportanceLow
+	d.level, d.all = squnit.ImportanceLow, 1
 	for _, c := range d.classes {
 		c.share = 1
 	}
 }
 
-// share returns the part of calls of a workspace and importance that there is
-// room for.
-func (d *demand) share(w sqid.WorkspaceID, i squnit.Importance) float64 {
-	if c := d.classes[classKey{i, w}]; c != nil {
+// share returns the part of a workspace's calls of importance level that there
+// is room for. One that is not known to want any is within its fair part.
+func (d *demand) share(w sqid.WorkspaceID) float64 {
+	if c := d.classes[classKey{d.level, w}]; c != nil {
 		return c.share
 	}
-	if i < d.level {
-		return 0
-	}
-	return 1
+	return math.Min(1, math.Ceil(d.all))
 }
--- a/internal/policy/sqadmit/gate.go
+++ b/internal/policy/sqadmit/gate.go
@@ -20,22 +20,35 @@
 const (
 	// reviewPeriod is the time between two divisions of the capacity.
 	reviewPeriod = 20 * time.Millisecond
-	// correctSpan is the time in which the shares aim to bring the queue to
-	// its reference length.
-	correctSpan = 200 * time.Millisecond
-	// queueFactor is the longest queue for each call in flight.
-	queueFactor = 1.0
+	// loopSpan and loopFactor give the time constant of the demand's average
+	// and the time in which the shares aim to bring the queue to its reference
+	// length: loopSpan, or loopFactor usual times if that is longer.
+	loopSpan   = 200 * time.Millisecond
+	loopFactor = 4
+	// queueTime bounds the queue to the calls that the target ends in that
+	// time, and to those that it runs at once.
+	queueTime = 100 * time.Millisecond
+	// underWayFactor is the ratio of the queue's bounds for calls under way
+	// to those for new ones.
+	underWayFactor = 3
+	// trimSpan is the time constant in which the capacity follows the calls
+	// under way that are shed, down to minTrim, and idle slots, up to maxTrim.
+	trimSpan = 1000 * time.Millisecond
+	minTrim  = -0.15
+	maxTrim  = 0.05
 	// referencePart is the reference length of the queue as part of its bound.
 	referencePart = 0.2
 	// minQueue and maxQueue bound the queue, in calls.
 	minQueue = 4
 	maxQueue = 256
-	// pressedPart is the part of the limit in flight from which the target
-	// counts as pressed, and pressedFor how long that stands.
-	pressedPart = 0.9
-	pressedFor  = 300 * time.Millisecond
+	// calmFor is the time without need to shed after which a target that was
+	// strained is so no more.
+	calmFor = 300 * time.Millisecond
+	// minWait is the time that any call may wait for a slot; beyond it, it may
+	// wait for the usual time.
+	minWait = 50 * time.Millisecond
 	// usualGain is the weight of one call in the usual time.
-	usualGain = 0.05
+	usualGain = 0.025
 )
 
 // Gate admits calls to one target. The zero value refuses nothing but has one
@@ -49,10 +62,17 @@
 	demand  demand
 	running map[sqid.CallID]struct{}
 	// usual is the usual time that a call holds its slot, in seconds.
-	usual    float64
+	usual float64
+	// lost counts calls under way that were shed since the last review; trim
+	// is the correction of the capacity that follows from it, as a part.
+	lost     int
+	trim     float64
 	draining bool
 	review   time.Time
-	pressed  time.Time
+	// strained is set from a full queue on, until no class has been shed since
+	// the time shed for calmFor.
+	strained bool
+	shed     time.Time
 }
 
 // Announce sets the slots that the target says it has, and ends a drain.
@@ -85,20 +105,22 @@
 		return Decision{Verdict: Refused, Reason: sqreason.TargetDraining}
 	}
 	g.init()
-	g.demand.add(now, &c)
+	g.demand.add(now, g.span(), &c)
 	g.reviewShares(now)
 	if !now.Add(g.need()).Before(c.Deadline) {
 		return g.refuse(sqreason.ShedDeadline)
 	}
 	if len(g.queue.waiters) == 0 && len(g.running) < g.limit.Slots() {
-		g.start(now, &c)
+		g.start(&c)
 		return Decision{Verdict: Run}
 	}
-	g.press(now)
 	g.queue.push(now, &c)
+	if len(g.queue.waiters) >= g.bound() {
+		g.strained, g.shed = true, now
+	}
 	effect := g.advance(now)
-	if len(g.queue.waiters) > g.bound() {
-		effect.Dropped = append(effect.Dropped, g.evict(now))
+	if drop, ok := g.evict(now); ok {
+		effect.Dropped = append(effect.Dropped, drop)
 	}
 	return g.decide(c.ID, effect)
 }
@@ -158,18 +180,19 @@
 	return g.advance(now)
 }
 
-// Load returns the gate's state for a workspace and an importance.
-func (g *Gate) Load(now time.Time, w sqid.WorkspaceID, i squnit.Importance) Load {
+// Load returns the gate's state for a workspace.
+func (g *Gate) Load(now time.Time, w sqid.WorkspaceID) Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.reviewShares(now)
 	return Load{
 		Level:    g.demand.level,
+		Share:    squnit.Share(g.demand.share(w)),
+		All:      squnit.Share(g.demand.all),
 		InFlight: len(g.running),
 		Limit:    g.limit.Slots(),
 		Queued:   len(g.queue.waiters),
 		Usual:    seconds(g.usual),
-		Share:    squnit.Share(g.demand.share(w, i)),
 	}
 }
 
@@ -180,48 +203,83 @@
 	}
 }
 
-func (g *Gate) start(now time.Time, c *Call) {
+func (g *Gate) start(c *Call) {
 	g.running[c.ID] = struct{}{}
 	g.usage.start(c)
-	if float64(len(g.running)) >= pressedPart*float64(g.limit.Slots()) {
-		g.press(now)
-	}
 }
 
-// measure takes the time of a call into the usual time. A fast failure says
-// nothing; a slow one held its slot as long as any.
+// measure takes the time of a call into the usual time. A call that ended
+// early says nothing, unless it had held its slot for longer than usual.
 func (g *Gate) measure(r Result) {
 	sample := r.Latency.Seconds()
-	if r.Outcome == OK || r.Outcome == Failed && sample > g.usual {
+	if r.Outcome == OK || r.Outcome != Shed && sample > g.usual {
 		g.usual = average(g.usual, sample)
 	}
 }
 
-func (g *Gate) press(now time.Time) { g.pressed = now }
-
 // advance drops what is late and fills free slots from the queue.
 func (g *Gate) advance(now time.Time) Effect {
 	var e Effect
 	if len(g.queue.waiters) == 0 {
 		return e
 	}
-	e.Dropped = g.queue.late(now, g.need())
+	g.dropLate(now, &e)
 	for len(g.running) < g.limit.Slots() {
 		i := g.queue.best(now)
 		if i < 0 {
 			break
 		}
 		c := g.queue.remove(i)
-		g.start(now, &c)
+		g.start(&c)
 		e.Run = append(e.Run, c.ID)
 	}
 	return e
 }
 
-func (g *Gate) evict(now time.Time) Drop {
+// dropLate drops the calls that can't end before their deadline if they take
+// the usual time, and those that have waited too long: a waiting call holds
+// slots of the services above.
+func (g *Gate) dropLate(now time.Time, e *Effect) {
+	need, wait := g.need(), max(minWait, seconds(g.usual))
+	for i := 0; i < len(g.queue.waiters); {
+		w := &g.queue.waiters[i]
+		patience := wait
+		if w.Depth > 0 {
+			patience *= underWayFactor
+		}
+		switch {
+		case !now.Add(need).Before(w.Deadline):
+			e.Dropped = append(e.Dropped, g.drop(i, sqreason.ShedDeadline))
+		case now.Sub(w.at) > patience:
+			e.Dropped = append(e.Dropped, g.drop(i, g.queue.why(i)))
+		default:
+			i++
+		}
+	}
+}
+
+// evict drops the worst call if the queue is too long. New calls alone make it
+// too long from its bound, with calls under way from underWayFactor times that.
+func (g *Gate) evict(now time.Time) (Drop, bool) {
+	bound := g.bound()
+	if len(g.queue.waiters) <= bound {
+		return Drop{}, false
+	}
 	i := g.queue.worst(now)
+	if len(g.queue.waiters) <= underWayFactor*bound && g.queue.waiters[i].Depth > 0 {
+		return Drop{}, false
+	}
 	reason := g.queue.why(i)
-	return Drop{ID: g.queue.remove(i).ID, Reason: reason}
+	return g.drop(i, reason), true
+}
+
+// drop removes the waiting call at i.
+func (g *Gate) drop(i int, reason sqreason.Refusal) Drop {
+	c := g.queue.remove(i)
+	if c.Depth > 0 {
+		g.lost++
+	}
+	return Drop{ID: c.ID, Reason: reason}
 }
 
 // refuse returns a refusal that advises to wait for the queue to drain.
@@ -236,7 +294,16 @@
 }
 
 func (g *Gate) bound() int {
-	return min(maxQueue, max(minQueue, int(queueFactor*float64(g.limit.Slots()))))
+	slots := float64(g.limit.Slots())
+	if g.usual > queueTime.Seconds() {
+		slots *= queueTime.Seconds() / g.usual
+	}
+	return min(maxQueue, max(minQueue, int(slots)))
+}
+
+// span is the time constant of the control of the shares.
+func (g *Gate) span() time.Duration {
+	return max(loopSpan, seconds(loopFactor*g.usual))
 }
 
 // reviewShares divides the capacity between the classes of calls.
@@ -244,22 +311,42 @@
 	if now.Sub(g.review) < reviewPeriod {
 		return
 	}
+	dt := now.Sub(g.review)
 	g.review = now
 	g.usage.decay(now)
-	if g.usual == 0 || now.Sub(g.pressed) > pressedFor {
+	g.adjustTrim(min(dt, trimSpan).Seconds())
+	if g.usual == 0 || !g.strained {
 		g.demand.admitAll()
 		return
 	}
-	g.demand.divide(now, g.capacity())
+	g.demand.divide(now, g.span(), g.capacity())
+	if g.demand.level > squnit.ImportanceLow || g.demand.all < 1 {
+		g.shed = now
+	}
+	g.strained = now.Sub(g.shed) <= calmFor
+}
+
+// adjustTrim moves the trim down by the part of the capacity that was shed
+// under way, and up by the part that was idle, over a time in seconds.
+func (g *Gate) adjustTrim(dt float64) {
+	lost := g.lost
+	g.lost = 0
+	if g.usual == 0 || dt <= 0 {
+		return
+	}
+	limit := float64(g.limit.Slots())
+	shed := float64(lost) * g.usual / limit
+	idle := max(0, limit-float64(len(g.running))) / limit * dt
+	g.trim = min(maxTrim, max(minTrim, g.trim+(idle-shed)/trimSpan.Seconds()))
 }
 
 // capacity is the calls a second that the target should get, so that the
-// queue reaches its reference length within correctSpan.
+// queue reaches its reference length within a span.
 func (g *Gate) capacity() float64 {
 	limit := float64(g.limit.Slots())
 	reference := referencePart * float64(g.bound())
 	missing := reference + limit - float64(len(g.queue.waiters)+len(g.running))
-	return max(0, limit/g.usual+missing/correctSpan.Seconds())
+	return max(0, (1+g.trim)*limit/g.usual+missing/g.span().Seconds())
 }
 
 func average(old, sample float64) float64 {
--- a/internal/policy/sqadmit/limit.go
+++ b/internal/policy/sqadmit/limit.go
@@ -12,28 +12,39 @@
 	coldPart = 0.25
 	// coldGrowth is the growth of a cold limit for each full window.
 	coldGrowth = 1.5
+	// warmPart is the growth for each full window of a limit that has been cut.
+	warmPart = 0.1
 	// slowLatency is the ratio to the baseline from which a window is slow.
-	slowLatency = 1.6
+	slowLatency = 1.8
 	// trialPart is the part of the limit that is kept while a slow target is
 	// tried with less.
 	trialPart = 0.7
 	// shedPart is the part of the calls in flight that is kept after a shed.
 	shedPart = 0.9
-	// busyPart is the part of the limit from which a window counts as full.
-	busyPart = 0.8
+	// fullPart is the part of the limit, as the mean in flight, from which a
+	// window counts as full.
+	fullPart = 0.85
+	// goodLatency is the ratio to the baseline up to which the limit grows.
+	goodLatency = 1.15
+	// excessGrowth is the growth beyond the announced slots for each window.
+	excessGrowth = 0.5
 	// excessFactor bounds the limit by the announced slots.
 	excessFactor = 4
-	// minSamples and maxWindow bound a window.
-	minSamples = 40
+	// minSamples is the least number of calls in a window, fewSamples that for
+	// a cold target and after maxWindow.
+	minSamples = 60
+	fewSamples = 20
 	maxWindow  = time.Second
-	// baseGain is the weight of an unloaded window in the baseline.
-	baseGain = 0.1
+	// riseGain and fallGain are the weights in the baseline of a window that
+	// is slower and was not full, and of one that is faster.
+	riseGain = 0.1
+	fallGain = 0.3
 )
 
 // Limit is the number of calls that a target may have in flight. It starts
-// from a part of the announced slots and doubles as long as windows are full
-// and no slower than the baseline; beyond the announced slots it grows by one
-// for each full window. A shed answer cuts it at once. A slow window starts a
+// from a part of the announced slots and grows fast as long as windows are full
+// and hardly slower than the baseline; beyond the announced slots it grows
+// slowly, and comes back if the latency rises. A shed answer cuts it at once. A slow window starts a
 // trial with fewer calls: if the latency falls with them, calls were queueing
 // within the target and the limit stays low; if not, the target itself has
 // become slower, the limit is restored and the baseline moves. The comparison
@@ -58,7 +69,6 @@
 	start    time.Time
 	samples  int
 	sum      float64
-	busiest  int
 	cutAt    time.Time
 	inFlight float64
 }
@@ -100,7 +110,7 @@
 	case Shed:
 		l.cut(now, inFlight)
 		return
-	case Failed:
+	case Failed, Cancelled:
 		return
 	}
 	own := max(0, r.Latency-r.Nested).Seconds()
@@ -108,16 +118,23 @@
 	w.samples++
 	w.sum += own
 	w.inFlight += float64(inFlight)
-	w.busiest = max(w.busiest, inFlight)
-	need := max(minSamples, l.Slots())
-	if l.cold {
-		need = max(minSamples/4, l.Slots())
-	}
-	if w.samples >= need || now.Sub(w.start) > maxWindow && w.samples >= minSamples/4 {
+	if w.samples >= l.need(now) {
 		l.closeWindow(now)
 	}
 }
 
+// need is the number of samples that end the window.
+func (l *Limit) need(now time.Time) int {
+	switch {
+	case l.trial.running && !l.trial.settled:
+		return l.Slots()
+	case l.cold || now.Sub(l.window.start) > maxWindow:
+		return max(fewSamples, l.Slots())
+	default:
+		return max(minSamples, l.Slots())
+	}
+}
+
 // cut lowers the limit below the calls in flight, once in each usual time.
 func (l *Limit) cut(now time.Time, inFlight int) {
 	w := &l.window
@@ -136,20 +153,26 @@
 	w := l.window
 	l.window = window{start: now, cutAt: w.cutAt}
 	latency := w.sum / float64(w.samples)
-	full := float64(w.busiest) >= busyPart*l.limit
-	if l.base == 0 || latency < l.base {
+	full := w.inFlight/float64(w.samples) >= fullPart*l.limit
+	switch {
+	case l.base == 0:
 		l.base = latency
-	} else if !full {
-		l.base += baseGain * (latency - l.base)
+	case latency < l.base:
+		l.base += fallGain * (latency - l.base)
+	case !full || l.limit <= l.announced/2:
+		l.base += riseGain * (latency - l.base)
 	}
 	switch {
 	case l.trial.running:
 		l.judge(latency)
-	case full && latency > slowLatency*l.base:
+	case full && latency > slowLatency*l.base && l.cold:
 		l.cold = false
+	case full && latency > slowLatency*l.base:
 		l.trial = trial{running: true, limit: l.limit, latency: latency}
 		l.limit = math.Max(1, l.limit*trialPart)
-	case full:
+	case l.limit > l.announced && latency > goodLatency*l.base:
+		l.limit = math.Max(l.announced, l.limit-1)
+	case full && (l.limit < l.announced || latency < goodLatency*l.base):
 		l.grow()
 	}
 }
@@ -171,13 +194,15 @@
 
 func (l *Limit) grow() {
 	switch {
-	case l.limit < l.announced && l.cold:
-		l.limit = math.Min(l.announced, l.limit*coldGrowth)
 	case l.ceiling > 0 && l.limit+1 >= l.ceiling:
 		l.limit += 1 / math.Max(1, l.limit)
 		l.ceiling = math.Max(l.ceiling, l.limit)
+	case l.limit < l.announced && l.cold:
+		l.limit = math.Min(l.announced, l.limit*coldGrowth)
+	case l.limit < l.announced:
+		l.limit = math.Min(l.announced, l.limit+math.Max(1, warmPart*l.limit))
 	case l.limit < excessFactor*l.announced:
 		l.cold = false
-		l.limit++
+		l.limit += excessGrowth
 	}
 }
--- a/internal/policy/sqadmit/queue.go
+++ b/internal/policy/sqadmit/queue.go
@@ -15,6 +15,7 @@
 type waiter struct {
 	Call
 	seq uint64
+	at  time.Time
 }
 
 // queue holds the calls that wait for a slot. It is short, so that a scan
@@ -32,7 +33,7 @@
 		q.since = now
 	}
 	q.seq++
-	q.waiters = append(q.waiters, waiter{Call: *c, seq: q.seq})
+	q.waiters = append(q.waiters, waiter{Call: *c, seq: q.seq, at: now})
 	q.usage.row(c).queued++
 }
 
@@ -118,21 +119,6 @@
 	return reason
 }
 
-// late removes and returns the calls that can't end before their deadline if
-// they take the time need.
-func (q *queue) late(now time.Time, need time.Duration) []Drop {
-	var drops []Drop
-	for i := 0; i < len(q.waiters); {
-		if now.Add(need).Before(q.waiters[i].Deadline) {
-			i++
-			continue
-		}
-		c := q.remove(i)
-		drops = append(drops, Drop{ID: c.ID, Reason: sqreason.ShedDeadline})
-	}
-	return drops
-}
-
 // compareAge orders the older call first, or the newer if the queue stands:
 // the older ones have used up most of their time (CoDel's answer to a standing
 // queue; adaptive LIFO as at Facebook, "Fail at Scale", 2015).
--- /dev/null
+++ b/internal/policy/sqchain/policy_test.go
@@ -0,0 +1,136 @@
+package sqchain
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqadmit"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqretry"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqroute"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
+)
+
+// config is one experiment under one policy.
+type config struct {
+	policy
+	experiment
+}
+
+type policy struct {
+	name    string
+	real    bool
+	newGate func() gate
+	pick    func(s *sim, c *call) *daemon
+	retry   func(s *sim, c *call, reason sqreason.Refusal, run squnit.RunState) (time.Duration, bool)
+}
+
+var policies = []policy{
+	{name: "none", newGate: func() gate { return &naiveGate{} }, pick: naivePick, retry: naiveRetry},
+	{name: "fixed", newGate: func() gate { return &naiveGate{bounded: true} }, pick: naivePick, retry: naiveRetry},
+	{name: "sequoiatack", real: true, newGate: func() gate { return &sqadmit.Gate{} }, pick: realPick, retry: realRetry},
+}
+
+func realPick(s *sim, c *call) *daemon {
+	choice := c.entry.router.Pick(s.now(), s.rng, s.rows[c.depth], sqroute.Request{
+		Service: serviceName(c.depth), Importance: c.req.level, Exclude: c.exclude,
+	})
+	if choice.Reason != sqreason.NoReason {
+		return nil
+	}
+	return s.find(choice.Row.ID)
+}
+
+func (s *sim) find(id sqtarget.ID) *daemon {
+	return s.daemons[slices.IndexFunc(s.daemons, func(d *daemon) bool { return d.row.ID == id })]
+}
+
+func realRetry(s *sim, c *call, reason sqreason.Refusal, run squnit.RunState) (time.Duration, bool) {
+	switch reason {
+	case sqreason.ShedDeadline, sqreason.ShedFairness, sqreason.ShedImportance, sqreason.ShedQueueFull:
+		c.sheds++
+	}
+	v := sqretry.Decide(s.rng, sqretry.Attempt{
+		Run: run, Reason: reason, Tries: c.tries, Sheds: c.sheds,
+		Left: c.req.deadline - s.at, Usual: c.entry.router.Usual(serviceName(c.depth)),
+		Credit: c.credit.Left(), Budget: c.entry.budgets[c.depth].Left(s.now()),
+		ServiceSheds: c.entry.router.Sheds(s.now(), serviceName(c.depth)),
+		OtherTarget:  len(c.exclude) < len(s.rows[c.depth]),
+	})
+	if !v.Retry {
+		return 0, false
+	}
+	c.entry.budgets[c.depth].Take(s.now())
+	return v.Backoff, c.credit.Take()
+}
+
+// naiveRetry makes a fixed number of retries at each hop.
+func naiveRetry(_ *sim, c *call, _ sqreason.Refusal, _ squnit.RunState) (time.Duration, bool) {
+	return 10 * time.Millisecond, c.tries <= naiveRetries
+}
+
+// naivePick believes the load endpoints, which show the state of the last
+// renewal.
+func naivePick(s *sim, c *call) *daemon {
+	rows := s.rows[c.depth]
+	if len(rows) == 0 {
+		return nil
+	}
+	a, b := s.find(rows[s.rng.IntN(len(rows))].ID), s.find(rows[s.rng.IntN(len(rows))].ID)
+	if b.shown < a.shown {
+		return b
+	}
+	return a
+}
+
+// naiveGate runs every call at once, or a fixed number of them in order of
+// arrival with a long queue.
+type naiveGate struct {
+	bounded bool
+	slots   int
+	running int
+	waiting []sqid.CallID
+}
+
+const naiveQueue = 20
+
+func (g *naiveGate) Announce(_ time.Time, slots squnit.Slots) sqadmit.Effect {
+	g.slots = int(slots)
+	return sqadmit.Effect{}
+}
+
+func (g *naiveGate) Offer(_ time.Time, c sqadmit.Call) sqadmit.Decision {
+	switch {
+	case !g.bounded || g.running < g.slots:
+		g.running++
+		return sqadmit.Decision{Verdict: sqadmit.Run}
+	case len(g.waiting) < naiveQueue*g.slots:
+		g.waiting = append(g.waiting, c.ID)
+		return sqadmit.Decision{Verdict: sqadmit.Queued}
+	default:
+		return sqadmit.Decision{Verdict: sqadmit.Refused, Reason: sqreason.ShedQueueFull}
+	}
+}
+
+func (g *naiveGate) Done(time.Time, sqid.CallID, sqadmit.Result) sqadmit.Effect {
+	g.running--
+	if len(g.waiting) == 0 || !g.bounded || g.running >= g.slots {
+		return sqadmit.Effect{}
+	}
+	next := g.waiting[0]
+	g.waiting = g.waiting[1:]
+	g.running++
+	return sqadmit.Effect{Run: []sqid.CallID{next}}
+}
+
+func (g *naiveGate) Cancel(time.Time, sqid.CallID) (bool, sqadmit.Effect) {
+	return false, sqadmit.Effect{}
+}
+
+func (g *naiveGate) Tick(time.Time) sqadmit.Effect { return sqadmit.Effect{} }
+
+func (g *naiveGate) Load(time.Time, sqid.WorkspaceID) sqadmit.Load {
+	return sqadmit.Load{Share: 1, All: 1}
+}
--- a/internal/policy/sqroute/target.go
+++ b/internal/policy/sqroute/target.go
@@ -43,7 +43,8 @@
 	first       time.Time
 	seen        time.Time
 	inFlight    int
-	// latency is in seconds, fails and shed are parts of the calls.
+	// latency is in seconds, fails a part of the calls, shed the reported
+	// level with its part that is shed.
 	latency float64
 	fails   float64
 	shed    float64
@@ -70,7 +71,7 @@
 	if load != nil {
 		t.busy = float64(load.InFlight+load.Queued) / float64(max(1, load.Limit))
 		t.busyAt = now
-		t.shed += failGain * (1 - float64(load.Share) - t.shed)
+		t.shed += failGain * (float64(load.Level) + 1 - float64(load.All) - t.shed)
 	}
 	failed := 0.0
 	switch o {
--- a/internal/policy/sqshed/below.go
+++ b/internal/policy/sqshed/below.go
@@ -13,7 +13,7 @@
 
 // Add takes the room that an answer to a nested call named for the service
 // that was called, and what that answer carried from deeper services. Only
-// the smallest room of a service is kept, and only the smallest of all if
+// the tightest room of a service is kept, and only the tightest of all if
 // there are too many.
 func (b *Below) Add(own Room, deeper []Room) {
 	b.add(own)
@@ -23,25 +23,25 @@
 }
 
 func (b *Below) add(r Room) {
-	if r.Share >= fullShare {
+	if r.cut(r.Share) <= 0 && r.cut(r.All) <= 0 {
 		return
 	}
 	widest := 0
 	for i := range b.rooms {
 		if b.rooms[i].Service == r.Service {
-			if r.Share < b.rooms[i].Share {
+			if r.tighter(&b.rooms[i]) {
 				b.rooms[i] = r
 			}
 			return
 		}
-		if b.rooms[i].Share > b.rooms[widest].Share {
+		if b.rooms[widest].tighter(&b.rooms[i]) {
 			widest = i
 		}
 	}
 	switch {
 	case len(b.rooms) < maxRooms:
 		b.rooms = append(b.rooms, r)
-	case r.Share < b.rooms[widest].Share:
+	case r.tighter(&b.rooms[widest]):
 		b.rooms[widest] = r
 	}
 }
--- a/internal/policy/sqshed/table.go
+++ b/internal/policy/sqshed/table.go
@@ -1,9 +1,13 @@
 // Package sqshed is an entry's knowledge of what the gates of a service, and
 // those of the services deeper in the chain, have room for. It comes with the
 // answers, and lets the entry refuse at the first hop what would fail at a
-// later one (DAGOR, SoCC 2018; TopFull, SIGCOMM 2024). A small part of what
-// would be refused goes through as probes, so that room is seen soon after it
-// is there again.
+// later one (DAGOR, SoCC 2018; TopFull, SIGCOMM 2024).
+//
+// What is known is a cut on the scale of importance: 0 admits all, 1.3 none
+// that is low, 0.7 of what is normal and all above, 4 none. Every answer moves
+// it, whatever its request's importance, so few answers are enough. It comes
+// down at a bounded speed, so that demand comes back in steps that the gates
+// can measure, and without answers it comes down too, after a probe.
 package sqshed
 
 import (
@@ -18,35 +22,43 @@
 )
 
 const (
-	// probeShare is the part of requests that always goes through.
-	probeShare = 0.02
-	// gain and gainSpan give the weight of an answer: gain, or more if the
-	// last one is longer ago.
-	gain     = 0.2
-	gainSpan = 100 * time.Millisecond
-	// silence is the time without an answer after which a share doubles in
-	// each growSpan.
-	silence  = 250 * time.Millisecond
-	growSpan = 150 * time.Millisecond
-	// fullShare is the share from which a class counts as not shed.
-	fullShare = 0.995
+	// averageSpan is the time constant of the average over answers, and
+	// minGain the least weight of one.
+	averageSpan = 250 * time.Millisecond
+	minGain     = 0.03
+	// fallSpeed is the greatest fall of a cut in levels a second.
+	fallSpeed = 5.0
+	// silence is the time without an answer after which a request is let
+	// through as a probe, and after which the cut falls at quietSpeed.
+	silence    = 200 * time.Millisecond
+	quietSpeed = 1.0
+	// openCut is the cut below which nothing is shed.
+	openCut = 0.005
 )
 
-// Class names requests that share a fate: those of one workspace and
-// importance on one route of a service. Route is empty where the plan has no
-// finer one.
+// Class names requests that share a fate: those of one workspace on one route
+// of a service. Route is empty where the plan has no finer one.
 type Class struct {
-	Service    sqid.ServiceID
-	Route      string
-	Workspace  sqid.WorkspaceID
-	Importance squnit.Importance
+	Service   sqid.ServiceID
+	Route     string
+	Workspace sqid.WorkspaceID
 }
 
-// Room is the part of a class that a service has room for.
+// Room is what a gate of a service has room for: all calls above Level, and of
+// those at Level the part Share of the workspace's, and the part All of all.
 type Room struct {
-	Service sqid.ServiceID
-	Level   squnit.Importance
-	Share   squnit.Share
+	Service    sqid.ServiceID
+	Level      squnit.Importance
+	Share, All squnit.Share
+}
+
+func (r *Room) cut(s squnit.Share) float64 {
+	return float64(r.Level) + 1 - min(1, max(0, float64(s)))
+}
+
+// tighter reports whether r has less room than o.
+func (r *Room) tighter(o *Room) bool {
+	return max(r.cut(r.Share), r.cut(r.All)) > max(o.cut(o.Share), o.cut(o.All))
 }
 
 // Admission is the decision on one request.
@@ -54,17 +66,22 @@
 	OK bool
 	// Probe is set for a request that went through to see if there is room.
 	Probe bool
-	// Share is the part of requests of the class that is admitted. It goes
+	// Share is the part of requests like this one that is admitted. It goes
 	// with the request to every gate.
 	Share squnit.Share
 	// Reason is set if OK is not.
 	Reason sqreason.Refusal
 }
 
+// row is a cut at a time. The row of no workspace is that of all.
 type row struct {
-	own    float64
-	deeper float64
-	at     time.Time
+	cut float64
+	at  time.Time
+	// base is the cut of all workspaces when the row was last set.
+	base float64
+	// deeper is set if a deeper service has the least room.
+	deeper bool
+	probed time.Time
 }
 
 // Table is what one entry knows. The zero value knows of no shedding. Its
@@ -74,88 +91,119 @@
 	rows map[Class]row
 }
 
-// Learn takes what an answer to a request of class c says: the share of the
-// gate that answered, and the rooms of the services below it that the request
+// Learn takes what an answer to a request of class c says: the room of the
+// gate that answered, and those of the services below it that the request
 // reached.
-func (t *Table) Learn(now time.Time, c Class, own squnit.Share, deeper []Room) {
-	low := 1.0
+func (t *Table) Learn(now time.Time, c Class, own Room, deeper []Room) {
+	cut, all, below := own.cut(own.Share), own.cut(own.All), false
 	for i := range deeper {
-		low = min(low, float64(deeper[i].Share))
+		if d := deeper[i].cut(deeper[i].Share); d > cut {
+			cut, below = d, true
+		}
+		all = max(all, deeper[i].cut(deeper[i].All))
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	general := Class{Service: c.Service, Route: c.Route}
+	base := t.learn(now, general, all, 0, below)
+	if c.Workspace != "" {
+		t.learn(now, c, cut, base, below)
+	}
+}
+
+func (t *Table) learn(now time.Time, c Class, cut, base float64, deeper bool) float64 {
 	r, ok := t.rows[c]
 	if !ok {
-		if own >= fullShare && low >= fullShare {
-			return
+		if cut < openCut && base < openCut {
+			return 0
 		}
-		r = row{own: 1, deeper: 1, at: now}
+		r = row{cut: base, base: base, at: now.Add(-averageSpan / 4)}
 	}
-	weight := max(gain, 1-math.Exp(-float64(now.Sub(r.at))/float64(gainSpan)))
-	r.own += weight * (float64(own) - r.own)
-	r.deeper += weight * (low - r.deeper)
-	r.at = now
-	if r.own >= fullShare && r.deeper >= fullShare {
+	old := r.shifted(base)
+	dt := now.Sub(r.at)
+	r.cut = old + max(minGain, 1-math.Exp(-float64(dt)/float64(averageSpan)))*(cut-old)
+	r.cut = max(r.cut, old-fallSpeed*dt.Seconds())
+	r.at, r.base, r.deeper = now, base, deeper
+	if r.cut < openCut && base < openCut {
 		delete(t.rows, c)
-		return
+		return 0
 	}
 	if t.rows == nil {
 		t.rows = make(map[Class]row)
 	}
 	t.rows[c] = r
+	return r.cut
 }
 
-// Admit decides on a request of class c. Nested calls are not asked about:
-// they carry the share of their request.
-func (t *Table) Admit(now time.Time, rng *rand.Rand, c Class) Admission {
+// shifted is the cut moved as that of all workspaces has moved since.
+func (r *row) shifted(base float64) float64 {
+	return min(squnit.ImportanceLevels, max(0, r.cut+base-r.base))
+}
+
+// quiet is the cut after the time without answers.
+func (r *row) quiet(now time.Time, cut float64) float64 {
+	if dt := now.Sub(r.at) - silence; dt > 0 {
+		cut -= quietSpeed * dt.Seconds()
+	}
+	return max(0, cut)
+}
+
+// Admit decides on a request of class c and importance i. Nested calls are not
+// asked about: they carry the share of their request.
+func (t *Table) Admit(now time.Time, rng *rand.Rand, c Class, i squnit.Importance) Admission {
 	t.mu.Lock()
-	r, ok := t.rows[c]
-	t.mu.Unlock()
-	if !ok {
+	defer t.mu.Unlock()
+	if len(t.rows) == 0 {
 		return Admission{OK: true, Share: 1}
 	}
-	share := r.share(now)
-	admitted := max(probeShare, share)
-	u := rng.Float64()
-	if u < admitted {
-		return Admission{OK: true, Probe: u >= share, Share: squnit.Share(admitted)}
+	general := Class{Service: c.Service, Route: c.Route}
+	all := t.rows[general]
+	own, known := t.rows[c]
+	cut := all.quiet(now, all.cut)
+	if known {
+		cut = own.quiet(now, own.shifted(all.cut))
+	}
+	share := min(1, max(0, float64(i)+1-cut))
+	if rng.Float64() < share {
+		return Admission{OK: true, Share: squnit.Share(share)}
 	}
-	reason := sqreason.ShedImportance
-	if r.deeper < r.own {
-		reason = sqreason.ShedDeeper
-	} else if r.own > 0 {
-		reason = sqreason.ShedFairness
+	if now.Sub(all.at) > silence && now.Sub(all.probed) > silence {
+		all.probed = now
+		t.rows[general] = all
+		return Admission{OK: true, Probe: true, Share: 1}
 	}
-	return Admission{Share: squnit.Share(admitted), Reason: reason}
+	return Admission{Share: squnit.Share(share), Reason: reason(i, cut, all, own, known)}
 }
 
-// share is the part admitted; it grows again if no answer comes.
-func (r *row) share(now time.Time) float64 {
-	share := min(r.own, r.deeper)
-	if quiet := now.Sub(r.at) - silence; quiet > 0 {
-		share = max(probeShare, share) * math.Exp2(float64(quiet)/float64(growSpan))
+func reason(i squnit.Importance, cut float64, all, own row, known bool) sqreason.Refusal {
+	switch {
+	case known && own.deeper || !known && all.deeper:
+		return sqreason.ShedDeeper
+	case known && float64(i)+1 > all.cut && cut > all.cut:
+		return sqreason.ShedFairness
+	default:
+		return sqreason.ShedImportance
 	}
-	return min(1, share)
 }
 
-// Tick forgets the classes whose share has grown back to 1.
+// Tick forgets the classes of which nothing is shed any more.
 func (t *Table) Tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c, r := range t.rows {
-		if r.share(now) >= 1 {
+		if r.quiet(now, r.cut) < openCut && now.Sub(r.at) > silence {
 			delete(t.rows, c)
 		}
 	}
 }
 
-// Shed returns the classes that are shed, for the status page and tests.
-func (t *Table) Shed(now time.Time) map[Class]squnit.Share {
+// Cuts returns the cut of each class, for the status page and tests.
+func (t *Table) Cuts(now time.Time) map[Class]float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	shed := make(map[Class]squnit.Share, len(t.rows))
+	cuts := make(map[Class]float64, len(t.rows))
 	for c, r := range t.rows {
-		shed[c] = squnit.Share(r.share(now))
+		cuts[c] = r.quiet(now, r.cut)
 	}
-	return shed
+	return cuts
 }
