--- a/internal/policy/sqadmit/gate.go
+++ b/internal/policy/sqadmit/gate.go
@@ -55,12 +55,13 @@
 // slot; Announce comes first. Its methods are safe for concurrent use and do
 // not block.
 type Gate struct {
-	mu      sync.Mutex
-	limit   Limit
-	usage   usage
-	queue   queue
-	demand  demand
-	running map[sqid.CallID]struct{}
+	mu     sync.Mutex
+	limit  Limit
+	usage  usage
+	queue  queue
+	demand demand
+	// running holds the calls that were in flight when each call got its slot.
+	running map[sqid.CallID]int
 	// usual is the usual time that a call holds its slot, in seconds.
 	usual float64
 	// lost counts calls under way that were shed since the last review; trim
@@ -148,10 +149,11 @@
 func (g *Gate) Done(now time.Time, id sqid.CallID, r Result) Effect {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, ok := g.running[id]; !ok {
+	started, ok := g.running[id]
+	if !ok {
 		return Effect{}
 	}
-	g.limit.Ended(now, len(g.running), r)
+	g.limit.Ended(now, started, len(g.running), r)
 	delete(g.running, id)
 	g.measure(r)
 	g.reviewShares(now)
@@ -198,13 +200,13 @@
 
 func (g *Gate) init() {
 	if g.running == nil {
-		g.running = make(map[sqid.CallID]struct{})
+		g.running = make(map[sqid.CallID]int)
 		g.queue.usage = &g.usage
 	}
 }
 
 func (g *Gate) start(c *Call) {
-	g.running[c.ID] = struct{}{}
+	g.running[c.ID] = len(g.running) + 1
 	g.usage.start(c)
 }
 
--- a/internal/policy/sqadmit/limit.go
+++ b/internal/policy/sqadmit/limit.go
@@ -14,11 +14,16 @@
 	coldGrowth = 1.5
 	// warmPart is the growth for each full window of a limit that has been cut.
 	warmPart = 0.1
+	// cautiousPart is the growth for each full window of a limit at its ceiling.
+	cautiousPart = 0.03
 	// slowLatency is the ratio to the baseline from which a window is slow.
 	slowLatency = 1.8
 	// trialPart is the part of the limit that is kept while a slow target is
 	// tried with less.
 	trialPart = 0.7
+	// queueingPart is the part of the limit that is kept when calls queue in
+	// the target.
+	queueingPart = 0.85
 	// shedPart is the part of the calls in flight that is kept after a shed.
 	shedPart = 0.9
 	// fullPart is the part of the limit, as the mean in flight, from which a
@@ -47,7 +52,8 @@
 // slowly, and comes back if the latency rises. A shed answer cuts it at once. A slow window starts a
 // trial with fewer calls: if the latency falls with them, calls were queueing
 // within the target and the limit stays low; if not, the target itself has
-// become slower, the limit is restored and the baseline moves. The comparison
+// become slower, the limit is restored and the baseline moves. As long as the
+// calls in flight vary by themselves, a regression shows the same. The comparison
 // follows the gradient limiters (TCP Vegas; Netflix concurrency-limits), the
 // trial is there because a gradient alone takes a slower target for a full
 // one.
@@ -57,12 +63,15 @@
 type Limit struct {
 	limit     float64
 	announced float64
-	// ceiling is the limit that a shed answer has shown to be too high.
+	// ceiling is the limit that was last found to be too high.
 	ceiling float64
 	base    float64
 	cold    bool
 	window  window
 	trial   trial
+	slope   slope
+	// queueing is set if the last slope showed calls queueing in the target.
+	queueing bool
 }
 
 type window struct {
@@ -104,8 +113,9 @@
 	return max(1, int(l.limit))
 }
 
-// Ended takes the end of a call, with the number in flight before it ended.
-func (l *Limit) Ended(now time.Time, inFlight int, r Result) {
+// Ended takes the end of a call, with the numbers in flight when it started
+// and before it ended.
+func (l *Limit) Ended(now time.Time, started, inFlight int, r Result) {
 	switch r.Outcome {
 	case Shed:
 		l.cut(now, inFlight)
@@ -118,11 +128,26 @@
 	w.samples++
 	w.sum += own
 	w.inFlight += float64(inFlight)
+	l.slope.add(started, own)
+	if l.slope.n >= slopeSamples {
+		l.closeSlope()
+	}
 	if w.samples >= l.need(now) {
 		l.closeWindow(now)
 	}
 }
 
+// closeSlope lowers the limit a little if calls queue in the target.
+func (l *Limit) closeSlope() {
+	l.queueing = l.slope.queueing()
+	l.slope = slope{}
+	if l.queueing && !l.trial.running {
+		l.cold = false
+		l.ceiling = l.limit
+		l.limit = math.Max(1, l.limit*queueingPart)
+	}
+}
+
 // need is the number of samples that end the window.
 func (l *Limit) need(now time.Time) int {
 	switch {
@@ -159,7 +184,7 @@
 		l.base = latency
 	case latency < l.base:
 		l.base += fallGain * (latency - l.base)
-	case !full || l.limit <= l.announced/2:
+	case !l.queueing && (!full || l.limit <= l.announced/2):
 		l.base += riseGain * (latency - l.base)
 	}
 	switch {
@@ -172,7 +197,7 @@
 		l.limit = math.Max(1, l.limit*trialPart)
 	case l.limit > l.announced && latency > goodLatency*l.base:
 		l.limit = math.Max(l.announced, l.limit-1)
-	case full && (l.limit < l.announced || latency < goodLatency*l.base):
+	case full && !l.queueing && (l.limit < l.announced || latency < goodLatency*l.base):
 		l.grow()
 	}
 }
@@ -195,7 +220,7 @@
 func (l *Limit) grow() {
 	switch {
 	case l.ceiling > 0 && l.limit+1 >= l.ceiling:
-		l.limit += 1 / math.Max(1, l.limit)
+		l.limit += cautiousPart * l.limit
 		l.ceiling = math.Max(l.ceiling, l.limit)
 	case l.limit < l.announced && l.cold:
 		l.limit = math.Min(l.announced, l.limit*coldGrowth)
