--- a/internal/policy/sqadmit/gate.go
+++ b/internal/policy/sqadmit/gate.go
@@ -36,6 +36,10 @@
 	trimSpan = 1000 * time.Millisecond
 	minTrim  = -0.15
 	maxTrim  = 0.05
+	// maxCorrection is the greatest part of the capacity that is taken to
+	// shorten the queue. What is on its way is more than the queue shows, and
+	// the queue drops it better than a cut that ends too late.
+	maxCorrection = 0.15
 	// referencePart is the reference length of the queue as part of its bound.
 	referencePart = 0.2
 	// minQueue and maxQueue bound the queue, in calls.
@@ -348,7 +352,9 @@
 	limit := float64(g.limit.Slots())
 	reference := referencePart * float64(g.bound())
 	missing := reference + limit - float64(len(g.queue.waiters)+len(g.running))
-	return max(0, (1+g.trim)*limit/g.usual+missing/g.span().Seconds())
+	usual := limit / g.usual
+	correction := max(-maxCorrection, missing/g.span().Seconds()/usual)
+	return max(0, (1+g.trim+correction)*usual)
 }
 
 func average(old, sample float64) float64 {
--- a/internal/policy/sqchain/debug_test.go
+++ b/internal/policy/sqchain/debug_test.go
@@ -42,7 +42,9 @@
 			s.after(step, probe)
 		}
 	}
-	s.after(4800*time.Millisecond, func() { last = s.out.counters; s.after(step, probe) })
+	s.after(4800*time.Millisecond, func() {
+		fmt.Println(s.out.refused, s.out.all.part(0, 2*time.Second), s.out.all.part(2*time.Second, 4*time.Second))
+ last = s.out.counters; s.after(step, probe) })
 	r := s.runUntil(runFor)
 	var ks []string
 	for k := range r.refused {
--- a/internal/policy/sqchain/experiment_test.go
+++ b/internal/policy/sqchain/experiment_test.go
@@ -166,7 +166,7 @@
 		wasted:   1 - (to.useful-from.useful).Seconds()/(to.work-from.work).Seconds(),
 		load:     float64(to.offered[deepest]-from.offered[deepest]) / float64(max(1, to.admitted-from.admitted)),
 		extra:    float64(r.extra),
-		before:   r.all.part(steadyFrom, e.start),
+		before:   r.all.part(steadyFrom, e.start-patience),
 	}
 }
 
--- a/internal/policy/sqchain/result_test.go
+++ b/internal/policy/sqchain/result_test.go
@@ -79,7 +79,7 @@
 // recovery is the time from end until the part served is as before again, and
 // stays so. The part served is taken over the next half second.
 func (r *result) recovery(start, end time.Duration) time.Duration {
-	before := recoveryPart * r.all.part(steadyFrom, start)
+	before := recoveryPart * r.all.part(steadyFrom, start-patience)
 	at := lastCounted
 	for at > end && r.all.part(at-bucket, at-bucket+recoverySpan*bucket) >= before {
 		at -= bucket
