--- a/internal/policy/sqadmit/demand.go
+++ b/internal/policy/sqadmit/demand.go
@@ -16,6 +16,10 @@
 	// idleDemand is the rate, in calls a second, below which a class is
 	// forgotten.
 	idleDemand = 0.01
+	// seenShare is the share below which a class is hardly seen, unseenFactor
+	// that by which its demand is then remembered for longer.
+	seenShare    = 0.05
+	unseenFactor = 5
 	// roundOff is the part of a demand that is taken for an error of rounding.
 	roundOff = 1e-9
 )
@@ -71,7 +75,12 @@
 	return math.Max(minShare, float64(c.Share))
 }
 
+// decay brings the rate to now. What is shed altogether can't be seen, and is
+// remembered for longer.
 func (c *class) decay(now time.Time, span time.Duration) {
+	if c.share < seenShare {
+		span *= unseenFactor
+	}
 	if dt := now.Sub(c.at); dt > 0 {
 		c.rate *= math.Exp(-float64(dt) / float64(span))
 		c.at = now
--- a/internal/policy/sqadmit/gate.go
+++ b/internal/policy/sqadmit/gate.go
@@ -20,11 +20,15 @@
 const (
 	// reviewPeriod is the time between two divisions of the capacity.
 	reviewPeriod = 20 * time.Millisecond
-	// loopSpan and loopFactor give the time constant of the demand's average
-	// and the time in which the shares aim to bring the queue to its reference
-	// length: loopSpan, or loopFactor usual times if that is longer.
-	loopSpan   = 200 * time.Millisecond
-	loopFactor = 4
+	// demandSpan and demandFactor give the time constant of the demand's
+	// average: demandSpan, or demandFactor usual times if that is longer.
+	demandSpan   = 200 * time.Millisecond
+	demandFactor = 4
+	// correctSpan and correctFactor give the time in which the shares aim to
+	// bring the queue to its reference length. It is longer than the way of a
+	// new share to the entries and of their calls back to the gate.
+	correctSpan   = 400 * time.Millisecond
+	correctFactor = 8
 	// queueTime bounds the queue to the calls that the target ends in that
 	// time, and to those that it runs at once.
 	queueTime = 100 * time.Millisecond
@@ -45,9 +49,10 @@
 	// minQueue and maxQueue bound the queue, in calls.
 	minQueue = 4
 	maxQueue = 256
-	// calmFor is the time without need to shed after which a target that was
-	// strained is so no more.
-	calmFor = 300 * time.Millisecond
+	// calmFor is the time without need to shed, or with less than busyPart of
+	// the limit in flight, after which a target that was strained is so no more.
+	calmFor  = 200 * time.Millisecond
+	busyPart = 0.8
 	// minWait is the time that any call may wait for a slot; beyond it, it may
 	// wait for the usual time.
 	minWait = 50 * time.Millisecond
@@ -74,8 +79,8 @@
 	trim     float64
 	draining bool
 	review   time.Time
-	// strained is set from a full queue on, until no class has been shed since
-	// the time shed for calmFor.
+	// strained is set from a full queue on, until calmFor after the time shed,
+	// at which a class was last shed for good reason.
 	strained bool
 	shed     time.Time
 }
@@ -110,7 +115,7 @@
 		return Decision{Verdict: Refused, Reason: sqreason.TargetDraining}
 	}
 	g.init()
-	g.demand.add(now, g.span(), &c)
+	g.demand.add(now, g.span(demandSpan, demandFactor), &c)
 	g.reviewShares(now)
 	if !now.Add(g.need()).Before(c.Deadline) {
 		return g.refuse(sqreason.ShedDeadline)
@@ -307,9 +312,9 @@
 	return min(maxQueue, max(minQueue, int(slots)))
 }
 
-// span is the time constant of the control of the shares.
-func (g *Gate) span() time.Duration {
-	return max(loopSpan, seconds(loopFactor*g.usual))
+// span is the longest of a time and a number of usual times.
+func (g *Gate) span(least time.Duration, factor float64) time.Duration {
+	return max(least, seconds(factor*g.usual))
 }
 
 // reviewShares divides the capacity between the classes of calls.
@@ -325,8 +330,9 @@
 		g.demand.admitAll()
 		return
 	}
-	g.demand.divide(now, g.span(), g.capacity())
-	if g.demand.level > squnit.ImportanceLow || g.demand.all < 1 {
+	g.demand.divide(now, g.span(demandSpan, demandFactor), g.capacity())
+	shedding := g.demand.level > squnit.ImportanceLow || g.demand.all < 1
+	if shedding && float64(len(g.running)+len(g.queue.waiters)) >= busyPart*float64(g.limit.Slots()) {
 		g.shed = now
 	}
 	g.strained = now.Sub(g.shed) <= calmFor
@@ -353,7 +359,7 @@
 	reference := referencePart * float64(g.bound())
 	missing := reference + limit - float64(len(g.queue.waiters)+len(g.running))
 	usual := limit / g.usual
-	correction := max(-maxCorrection, missing/g.span().Seconds()/usual)
+	correction := max(-maxCorrection, missing/g.span(correctSpan, correctFactor).Seconds()/usual)
 	return max(0, (1+g.trim+correction)*usual)
 }
 
--- a/internal/policy/sqadmit/limit.go
+++ b/internal/policy/sqadmit/limit.go
@@ -16,6 +16,8 @@
 	warmPart = 0.1
 	// cautiousPart is that growth from where calls were last found to queue.
 	cautiousPart = 0.05
+	// minGrowth is the least of both, in slots.
+	minGrowth = 0.34
 	// excessGrowth is the growth beyond the announced slots for each window.
 	excessGrowth = 0.5
 	// excessFactor bounds the limit by the announced slots.
@@ -33,9 +35,10 @@
 	// fullPart is the part of the limit, as the mean in flight, from which a
 	// window counts as full.
 	fullPart = 0.85
-	// goodLatency is the ratio to the baseline up to which the limit may be
-	// beyond the announced slots.
+	// goodLatency is the ratio to the baseline up to which the limit grows
+	// beyond the announced slots, badLatency that from which it comes back.
 	goodLatency = 1.15
+	badLatency  = 1.3
 	// riseGain and fallGain are the weights in the baseline of a window that
 	// is slower and was not full, and of one that is faster.
 	riseGain = 0.1
@@ -86,6 +89,8 @@
 // anchor is a limit that was full, with its latency.
 type anchor struct {
 	limit, latency float64
+	// doubted is set if one window beyond it was too slow.
+	doubted bool
 }
 
 // Announce sets the slots that the target says it has. Renewals with the same
@@ -157,10 +162,13 @@
 	l.anchor = anchor{}
 }
 
+// closeSlope lowers the limit if calls queue in the target. One slope alone may
+// come from a latency that has changed with time.
 func (l *Limit) closeSlope() {
+	before := l.queueing
 	l.queueing = l.slope.queueing()
 	l.slope = slope{}
-	if l.queueing {
+	if l.queueing && before {
 		l.tooHigh(l.limit, l.limit*queueingPart)
 	}
 }
@@ -169,12 +177,13 @@
 	w := l.window
 	l.window = window{start: now}
 	n := float64(w.samples)
-	latency, full := w.latency/n, w.inFlight/n >= fullPart*l.limit
+	latency, full := w.latency/n, w.inFlight/n >= fullPart*float64(l.Slots())
 	l.learnBase(latency, full)
 	switch {
-	case l.limit > l.announced && latency > goodLatency*l.base:
+	case l.limit > l.announced && latency > badLatency*l.base:
 		l.limit = math.Max(l.announced, l.limit-1)
-	case full && !l.queueing && l.limit < excessFactor*l.announced:
+	case !full || l.queueing || l.limit >= excessFactor*l.announced:
+	case l.limit < l.announced || latency < goodLatency*l.base:
 		l.probe(latency)
 	}
 }
@@ -193,29 +202,38 @@
 // probe lets a full limit grow, unless the latency has grown with it.
 func (l *Limit) probe(latency float64) {
 	if l.anchor.limit == 0 || l.limit < l.anchor.limit {
-		l.anchor = anchor{l.limit, latency}
+		l.anchor = anchor{limit: l.limit, latency: latency}
 	}
 	if step := l.limit / l.anchor.limit; step >= anchorStep {
 		if latency > l.anchor.latency*(1+queueingRise*(step-1)) {
-			l.tooHigh(l.limit, l.anchor.limit)
+			l.doubt()
 			return
 		}
-		l.anchor = anchor{l.limit, latency}
+		l.anchor = anchor{limit: l.limit, latency: latency}
 	}
 	l.grow()
 }
 
+// doubt lowers the limit to its anchor when two windows have been too slow.
+func (l *Limit) doubt() {
+	if l.anchor.doubted {
+		l.tooHigh(l.limit, l.anchor.limit)
+		return
+	}
+	l.anchor.doubted = true
+}
+
 func (l *Limit) grow() {
 	switch {
 	case l.limit >= l.announced:
 		l.cold = false
 		l.limit += excessGrowth
 	case l.ceiling > 0 && l.limit*(1+cautiousPart) >= l.ceiling:
-		l.limit *= 1 + cautiousPart
+		l.limit += math.Max(minGrowth, l.limit*cautiousPart)
 		l.ceiling = math.Max(l.ceiling, l.limit)
 	case l.cold:
 		l.limit = math.Min(l.announced, l.limit*coldGrowth)
 	default:
-		l.limit = math.Min(l.announced, l.limit*(1+warmPart))
+		l.limit = math.Min(l.announced, l.limit+math.Max(minGrowth, l.limit*warmPart))
 	}
 }
--- a/internal/policy/sqchain/client_test.go
+++ b/internal/policy/sqchain/client_test.go
@@ -85,6 +85,7 @@
 			a := r.entry.shed.Admit(s.now(), s.rng, class, level)
 			r.share = a.Share
 			if !a.OK {
+				s.out.refused[fmt.Sprint("entry ", a.Reason, " ", level, " ", class.Workspace == surging)]++
 				s.finish(r, false)
 				return
 			}
--- a/internal/policy/sqchain/experiment_test.go
+++ b/internal/policy/sqchain/experiment_test.go
@@ -182,10 +182,6 @@
 	return fmt.Sprintf("%.3f [%.3f %.3f]", v[len(v)/2], v[0], v[len(v)-1])
 }
 
-func (f *figures) columns() map[string]float64 {
-	return map[string]float64{"goodput": f.goodput}
-}
-
 func TestExperiments(t *testing.T) {
 	for _, e := range experiments {
 		t.Run(e.title, func(t *testing.T) {
--- a/internal/policy/sqchain/model_test.go
+++ b/internal/policy/sqchain/model_test.go
@@ -222,7 +222,7 @@
 func (s *sim) refused(c *call, reason sqreason.Refusal) {
 	delete(c.host.calls, c.id)
 	c.state = over
-	s.out.refused[fmt.Sprint(c.depth, " ", reason, " ", c.req.level)]++
+	s.out.refused[fmt.Sprint(c.depth, " ", reason, " ", c.req.level, " ", c.req.class.Workspace == surging)]++
 	s.answer(c, reason, squnit.RunNot)
 }
 
--- a/internal/policy/sqshed/table.go
+++ b/internal/policy/sqshed/table.go
@@ -24,7 +24,7 @@
 const (
 	// averageSpan is the time constant of the average over answers, and
 	// minGain the least weight of one.
-	averageSpan = 250 * time.Millisecond
+	averageSpan = 150 * time.Millisecond
 	minGain     = 0.03
 	// fallSpeed is the greatest fall of a cut in levels a second.
 	fallSpeed = 5.0
