--- a/internal/policy/sqadmit/gate.go
+++ b/internal/policy/sqadmit/gate.go
@@ -53,6 +53,10 @@
 	// the limit in flight, after which a target that was strained is so no more.
 	calmFor  = 200 * time.Millisecond
 	busyPart = 0.8
+	// ageFactor is the mean age of the running calls, in usual times, from
+	// which the usual time counts as outdated; minAged is the least of them.
+	ageFactor = 1.5
+	minAged   = 4
 	// minWait is the time that any call may wait for a slot; beyond it, it may
 	// wait for the usual time.
 	minWait = 50 * time.Millisecond
@@ -69,8 +73,11 @@
 	usage  usage
 	queue  queue
 	demand demand
-	// running holds the calls that were in flight when each call got its slot.
-	running map[sqid.CallID]int
+	running map[sqid.CallID]running
+	// ages is the sum over the running calls of the time since origin at
+	// which they started, in seconds.
+	ages   float64
+	origin time.Time
 	// usual is the usual time that a call holds its slot, in seconds.
 	usual float64
 	// lost counts calls under way that were shed since the last review; trim
@@ -85,6 +92,13 @@
 	shed     time.Time
 }
 
+// running is a call that holds a slot: the calls in flight when it got it, and
+// the time since the gate's origin, in seconds.
+type running struct {
+	inFlight int
+	at       float64
+}
+
 // Announce sets the slots that the target says it has, and ends a drain.
 func (g *Gate) Announce(now time.Time, slots squnit.Slots) Effect {
 	g.mu.Lock()
@@ -114,14 +128,14 @@
 	if g.draining {
 		return Decision{Verdict: Refused, Reason: sqreason.TargetDraining}
 	}
-	g.init()
+	g.init(now)
 	g.demand.add(now, g.span(demandSpan, demandFactor), &c)
 	g.reviewShares(now)
 	if !now.Add(g.need()).Before(c.Deadline) {
 		return g.refuse(sqreason.ShedDeadline)
 	}
 	if len(g.queue.waiters) == 0 && len(g.running) < g.limit.Slots() {
-		g.start(&c)
+		g.start(now, &c)
 		return Decision{Verdict: Run}
 	}
 	g.queue.push(now, &c)
@@ -158,12 +172,13 @@
 func (g *Gate) Done(now time.Time, id sqid.CallID, r Result) Effect {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	started, ok := g.running[id]
+	run, ok := g.running[id]
 	if !ok {
 		return Effect{}
 	}
-	g.limit.Ended(now, started, len(g.running), r)
+	g.limit.Ended(now, run.inFlight, len(g.running), r)
 	delete(g.running, id)
+	g.ages -= run.at
 	g.measure(r)
 	g.reviewShares(now)
 	return g.advance(now)
@@ -207,15 +222,18 @@
 	}
 }
 
-func (g *Gate) init() {
+func (g *Gate) init(now time.Time) {
 	if g.running == nil {
-		g.running = make(map[sqid.CallID]int)
+		g.running = make(map[sqid.CallID]running)
+		g.origin = now
 		g.queue.usage = &g.usage
 	}
 }
 
-func (g *Gate) start(c *Call) {
-	g.running[c.ID] = len(g.running) + 1
+func (g *Gate) start(now time.Time, c *Call) {
+	r := running{inFlight: len(g.running) + 1, at: now.Sub(g.origin).Seconds()}
+	g.running[c.ID] = r
+	g.ages += r.at
 	g.usage.start(c)
 }
 
@@ -241,7 +259,7 @@
 			break
 		}
 		c := g.queue.remove(i)
-		g.start(&c)
+		g.start(now, &c)
 		e.Run = append(e.Run, c.ID)
 	}
 	return e
@@ -330,7 +348,7 @@
 		g.demand.admitAll()
 		return
 	}
-	g.demand.divide(now, g.span(demandSpan, demandFactor), g.capacity())
+	g.demand.divide(now, g.span(demandSpan, demandFactor), g.capacity(now))
 	shedding := g.demand.level > squnit.ImportanceLow || g.demand.all < 1
 	if shedding && float64(len(g.running)+len(g.queue.waiters)) >= busyPart*float64(g.limit.Slots()) {
 		g.shed = now
@@ -352,13 +370,25 @@
 	g.trim = min(maxTrim, max(minTrim, g.trim+(idle-shed)/trimSpan.Seconds()))
 }
 
+// holdTime is the time that a call holds its slot, in seconds: the usual time,
+// or what the age of the running calls shows if the target has just become
+// slower, so that the calls which will tell have not ended yet.
+func (g *Gate) holdTime(now time.Time) float64 {
+	n := float64(len(g.running))
+	if n < minAged {
+		return g.usual
+	}
+	age := now.Sub(g.origin).Seconds() - g.ages/n
+	return max(g.usual, age/ageFactor)
+}
+
 // capacity is the calls a second that the target should get, so that the
 // queue reaches its reference length within a span.
-func (g *Gate) capacity() float64 {
+func (g *Gate) capacity(now time.Time) float64 {
 	limit := float64(g.limit.Slots())
 	reference := referencePart * float64(g.bound())
 	missing := reference + limit - float64(len(g.queue.waiters)+len(g.running))
-	usual := limit / g.usual
+	usual := limit / g.holdTime(now)
 	correction := max(-maxCorrection, missing/g.span(correctSpan, correctFactor).Seconds()/usual)
 	return max(0, (1+g.trim+correction)*usual)
 }
