Keep what is particular to a workspace as a ratio to the cut of all

An entry hears of one workspace a few times a second, of all a hundred times. The ratio of a workspace's shed part to that of all comes from one gate in one answer, so the noise of the cut is not in it.

--- a/internal/policy/sqadmit/gate.go
+++ b/internal/policy/sqadmit/gate.go
@@ -34,12 +34,14 @@
 	queueTime = 100 * time.Millisecond
 	// underWayFactor is the ratio of the queue's bounds for calls under way
 	// to those for new ones.
-	underWayFactor = 3
+	underWayFactor = 6
 	// trimSpan is the time constant in which the capacity follows the calls
 	// under way that are shed, down to minTrim, and idle slots, up to maxTrim.
 	trimSpan = 1000 * time.Millisecond
-	minTrim  = -0.15
-	maxTrim  = 0.05
+	// shedWeight is what a shed call counts for in idle ones.
+	shedWeight = 3
+	minTrim    = -0.15
+	maxTrim    = 0.05
 	// maxCorrection is the greatest part of the capacity that is taken to
 	// shorten the queue. What is on its way is more than the queue shows, and
 	// the queue drops it better than a cut that ends too late.
@@ -68,11 +70,11 @@
 // slot; Announce comes first. Its methods are safe for concurrent use and do
 // not block.
 type Gate struct {
-	mu     sync.Mutex
-	limit  Limit
-	usage  usage
-	queue  queue
-	demand demand
+	mu      sync.Mutex
+	limit   Limit
+	usage   usage
+	queue   queue
+	demand  demand
 	running map[sqid.CallID]running
 	// ages is the sum over the running calls of the time since origin at
 	// which they started, in seconds.
@@ -367,7 +369,7 @@
 	limit := float64(g.limit.Slots())
 	shed := float64(lost) * g.usual / limit
 	idle := max(0, limit-float64(len(g.running))) / limit * dt
-	g.trim = min(maxTrim, max(minTrim, g.trim+(idle-shed)/trimSpan.Seconds()))
+	g.trim = min(maxTrim, max(minTrim, g.trim+(idle-shedWeight*shed)/trimSpan.Seconds()))
 }
 
 // holdTime is the time that a call holds its slot, in seconds: the usual time,
--- a/internal/policy/sqshed/below.go
+++ b/internal/policy/sqshed/below.go
@@ -23,7 +23,7 @@
 }
 
 func (b *Below) add(r Room) {
-	if r.cut(r.Share) <= 0 && r.cut(r.All) <= 0 {
+	if r.cut() <= 0 {
 		return
 	}
 	widest := 0
--- a/internal/policy/sqshed/table.go
+++ b/internal/policy/sqshed/table.go
@@ -34,6 +34,8 @@
 	quietSpeed = 1.0
 	// openCut is the cut below which nothing is shed.
 	openCut = 0.005
+	// forgetAfter is the time after which a workspace's claim is forgotten.
+	forgetAfter = 5 * time.Second
 )
 
 // Class names requests that share a fate: those of one workspace on one route
@@ -44,6 +46,9 @@
 	Workspace sqid.WorkspaceID
 }
 
+// route is the class of all workspaces.
+func (c Class) route() Class { return Class{Service: c.Service, Route: c.Route} }
+
 // Room is what a gate of a service has room for: all calls above Level, and of
 // those at Level the part Share of the workspace's, and the part All of all.
 type Room struct {
@@ -52,14 +57,13 @@
 	Share, All squnit.Share
 }
 
-func (r *Room) cut(s squnit.Share) float64 {
-	return float64(r.Level) + 1 - min(1, max(0, float64(s)))
+// cut is the room on the scale of importance, for all workspaces together.
+func (r *Room) cut() float64 {
+	return float64(r.Level) + 1 - min(1, max(0, float64(r.All)))
 }
 
 // tighter reports whether r has less room than o.
-func (r *Room) tighter(o *Room) bool {
-	return max(r.cut(r.Share), r.cut(r.All)) > max(o.cut(o.Share), o.cut(o.All))
-}
+func (r *Room) tighter(o *Room) bool { return r.cut() > o.cut() }
 
 // Admission is the decision on one request.
 type Admission struct {
@@ -73,79 +77,102 @@
 	Reason sqreason.Refusal
 }
 
-// row is a cut at a time. The row of no workspace is that of all.
-type row struct {
-	cut float64
-	at  time.Time
-	// base is the cut of all workspaces when the row was last set.
-	base float64
+// cut is what is known of a route of a service, for all workspaces together.
+type cut struct {
+	at    time.Time
+	value float64
 	// deeper is set if a deeper service has the least room.
 	deeper bool
 	probed time.Time
 }
 
+// claim is how much more is shed of a workspace than of all, at the level
+// where only a part is: 0 is nothing, 1 as much as of all.
+type claim struct {
+	at    time.Time
+	ratio float64
+}
+
 // Table is what one entry knows. The zero value knows of no shedding. Its
 // methods are safe for concurrent use and do not block.
 type Table struct {
-	mu   sync.Mutex
-	rows map[Class]row
+	mu     sync.Mutex
+	cuts   map[Class]cut
+	claims map[Class]claim
 }
 
 // Learn takes what an answer to a request of class c says: the room of the
 // gate that answered, and those of the services below it that the request
 // reached.
 func (t *Table) Learn(now time.Time, c Class, own Room, deeper []Room) {
-	cut, all, below := own.cut(own.Share), own.cut(own.All), false
+	room, below := &own, false
 	for i := range deeper {
-		if d := deeper[i].cut(deeper[i].Share); d > cut {
-			cut, below = d, true
+		if deeper[i].tighter(room) {
+			room, below = &deeper[i], true
 		}
-		all = max(all, deeper[i].cut(deeper[i].All))
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	general := Class{Service: c.Service, Route: c.Route}
-	base := t.learn(now, general, all, 0, below)
-	if c.Workspace != "" {
-		t.learn(now, c, cut, base, below)
+	value := t.learnCut(now, c.route(), room, below)
+	if value > 0 && room.All < 1 && c.Workspace != "" {
+		t.learnClaim(now, c, float64(1-room.Share)/float64(1-room.All))
 	}
 }
 
-func (t *Table) learn(now time.Time, c Class, cut, base float64, deeper bool) float64 {
-	r, ok := t.rows[c]
+func (t *Table) learnCut(now time.Time, route Class, room *Room, below bool) float64 {
+	sample := room.cut()
+	k, ok := t.cuts[route]
 	if !ok {
-		if cut < openCut && base < openCut {
+		if sample < openCut {
 			return 0
 		}
-		r = row{cut: base, base: base, at: now.Add(-averageSpan / 4)}
+		k = cut{at: now.Add(-averageSpan / 4)}
 	}
-	old := r.shifted(base)
-	dt := now.Sub(r.at)
-	r.cut = old + max(minGain, 1-math.Exp(-float64(dt)/float64(averageSpan)))*(cut-old)
-	r.cut = max(r.cut, old-fallSpeed*dt.Seconds())
-	r.at, r.base, r.deeper = now, base, deeper
-	if r.cut < openCut && base < openCut {
-		delete(t.rows, c)
+	dt := now.Sub(k.at)
+	old := k.value
+	k.value += gain(dt) * (sample - old)
+	k.value = max(k.value, old-fallSpeed*dt.Seconds())
+	k.at, k.deeper = now, below
+	if k.value < openCut {
+		delete(t.cuts, route)
 		return 0
 	}
-	if t.rows == nil {
-		t.rows = make(map[Class]row)
+	if t.cuts == nil {
+		t.cuts = make(map[Class]cut)
+		t.claims = make(map[Class]claim)
 	}
-	t.rows[c] = r
-	return r.cut
+	t.cuts[route] = k
+	return k.value
 }
 
-// shifted is the cut moved as that of all workspaces has moved since.
-func (r *row) shifted(base float64) float64 {
-	return min(squnit.ImportanceLevels, max(0, r.cut+base-r.base))
+func (t *Table) learnClaim(now time.Time, c Class, ratio float64) {
+	k, ok := t.claims[c]
+	if !ok {
+		k.ratio = ratio
+	}
+	k.ratio += gain(now.Sub(k.at)) * (ratio - k.ratio)
+	k.at = now
+	t.claims[c] = k
 }
 
-// quiet is the cut after the time without answers.
-func (r *row) quiet(now time.Time, cut float64) float64 {
-	if dt := now.Sub(r.at) - silence; dt > 0 {
-		cut -= quietSpeed * dt.Seconds()
+// gain is the weight of an answer that comes dt after the one before.
+func gain(dt time.Duration) float64 {
+	return max(minGain, 1-math.Exp(-float64(dt)/float64(averageSpan)))
+}
+
+// now is the cut after the time without answers.
+func (k *cut) now(now time.Time) float64 {
+	if dt := now.Sub(k.at) - silence; dt > 0 {
+		return max(0, k.value-quietSpeed*dt.Seconds())
 	}
-	return max(0, cut)
+	return k.value
+}
+
+// forClaim is the cut for a workspace: only within the level that is shed in
+// part does it differ from that of all.
+func (k *cut) forClaim(now time.Time, ratio float64) float64 {
+	level, part := math.Modf(k.now(now))
+	return level + min(1, part*ratio)
 }
 
 // Admit decides on a request of class c and importance i. Nested calls are not
@@ -153,57 +180,61 @@
 func (t *Table) Admit(now time.Time, rng *rand.Rand, c Class, i squnit.Importance) Admission {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.rows) == 0 {
+	k, ok := t.cuts[c.route()]
+	if !ok {
 		return Admission{OK: true, Share: 1}
 	}
-	general := Class{Service: c.Service, Route: c.Route}
-	all := t.rows[general]
-	own, known := t.rows[c]
-	cut := all.quiet(now, all.cut)
-	if known {
-		cut = own.quiet(now, own.shifted(all.cut))
+	ratio := 1.0
+	if own, known := t.claims[c]; known {
+		ratio = own.ratio
 	}
-	share := min(1, max(0, float64(i)+1-cut))
+	share := min(1, max(0, float64(i)+1-k.forClaim(now, ratio)))
 	if rng.Float64() < share {
 		return Admission{OK: true, Share: squnit.Share(share)}
 	}
-	if now.Sub(all.at) > silence && now.Sub(all.probed) > silence {
-		all.probed = now
-		t.rows[general] = all
+	if now.Sub(k.at) > silence && now.Sub(k.probed) > silence {
+		k.probed = now
+		t.cuts[c.route()] = k
 		return Admission{OK: true, Probe: true, Share: 1}
 	}
-	return Admission{Share: squnit.Share(share), Reason: reason(i, cut, all, own, known)}
+	return Admission{Share: squnit.Share(share), Reason: k.reason(i, ratio)}
 }
 
-func reason(i squnit.Importance, cut float64, all, own row, known bool) sqreason.Refusal {
+func (k *cut) reason(i squnit.Importance, ratio float64) sqreason.Refusal {
 	switch {
-	case known && own.deeper || !known && all.deeper:
+	case k.deeper:
 		return sqreason.ShedDeeper
-	case known && float64(i)+1 > all.cut && cut > all.cut:
+	case float64(i)+1 > k.value && ratio > 1:
 		return sqreason.ShedFairness
 	default:
 		return sqreason.ShedImportance
 	}
 }
 
-// Tick forgets the classes of which nothing is shed any more.
+// Tick forgets the routes of which nothing is shed any more, and the claims of
+// workspaces that have not been heard of for a while.
 func (t *Table) Tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for c, r := range t.rows {
-		if r.quiet(now, r.cut) < openCut && now.Sub(r.at) > silence {
-			delete(t.rows, c)
+	for c, k := range t.cuts {
+		if k.now(now) < openCut && now.Sub(k.at) > silence {
+			delete(t.cuts, c)
+		}
+	}
+	for c, k := range t.claims {
+		if now.Sub(k.at) > forgetAfter {
+			delete(t.claims, c)
 		}
 	}
 }
 
-// Cuts returns the cut of each class, for the status page and tests.
+// Cuts returns the cut of each route, for the status page and tests.
 func (t *Table) Cuts(now time.Time) map[Class]float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	cuts := make(map[Class]float64, len(t.rows))
-	for c, r := range t.rows {
-		cuts[c] = r.quiet(now, r.cut)
+	cuts := make(map[Class]float64, len(t.cuts))
+	for c, k := range t.cuts {
+		cuts[c] = k.now(now)
 	}
 	return cuts
 }
