--- a/internal/policy/sqadmit/demand.go
+++ b/internal/policy/sqadmit/demand.go
@@ -19,7 +19,7 @@
 	// seenShare is the share below which a class is hardly seen, unseenFactor
 	// that by which its demand is then remembered for longer.
 	seenShare    = 0.05
-	unseenFactor = 5
+	unseenFactor = 10
 	// roundOff is the part of a demand that is taken for an error of rounding.
 	roundOff = 1e-9
 )
--- a/internal/policy/sqadmit/gate.go
+++ b/internal/policy/sqadmit/gate.go
@@ -37,11 +37,11 @@
 	underWayFactor = 6
 	// trimSpan is the time constant in which the capacity follows the calls
 	// under way that are shed, down to minTrim, and idle slots, up to maxTrim.
-	trimSpan = 1000 * time.Millisecond
+	trimSpan = time.Second
 	// shedWeight is what a shed call counts for in idle ones.
-	shedWeight = 3
+	shedWeight = 2
 	minTrim    = -0.15
-	maxTrim    = 0.05
+	maxTrim    = 0.15
 	// maxCorrection is the greatest part of the capacity that is taken to
 	// shorten the queue. What is on its way is more than the queue shows, and
 	// the queue drops it better than a cut that ends too late.
--- a/internal/policy/sqshed/table.go
+++ b/internal/policy/sqshed/table.go
@@ -26,6 +26,7 @@
 	// minGain the least weight of one.
 	averageSpan = 150 * time.Millisecond
 	minGain     = 0.03
+	riseSpan    = 75 * time.Millisecond
 	// fallSpeed is the greatest fall of a cut in levels a second.
 	fallSpeed = 5.0
 	// silence is the time without an answer after which a request is let
@@ -130,7 +131,7 @@
 	}
 	dt := now.Sub(k.at)
 	old := k.value
-	k.value += gain(dt) * (sample - old)
+	k.value += gain(dt, sample > old) * (sample - old)
 	k.value = max(k.value, old-fallSpeed*dt.Seconds())
 	k.at, k.deeper = now, below
 	if k.value < openCut {
@@ -150,14 +151,18 @@
 	if !ok {
 		k.ratio = ratio
 	}
-	k.ratio += gain(now.Sub(k.at)) * (ratio - k.ratio)
+	k.ratio += gain(now.Sub(k.at), false) * (ratio - k.ratio)
 	k.at = now
 	t.claims[c] = k
 }
 
 // gain is the weight of an answer that comes dt after the one before.
-func gain(dt time.Duration) float64 {
-	return max(minGain, 1-math.Exp(-float64(dt)/float64(averageSpan)))
+func gain(dt time.Duration, rising bool) float64 {
+	span := averageSpan
+	if rising {
+		span = riseSpan
+	}
+	return max(minGain, 1-math.Exp(-float64(dt)/float64(span)))
 }
 
 // now is the cut after the time without answers.
