--- a/internal/policy/sqchain/client_test.go
+++ b/internal/policy/sqchain/client_test.go
@@ -23,6 +23,22 @@
 	name   sqid.WorkspaceID
 	weight squnit.Weight
 	rate   func(at time.Duration) float64
+	// plan is the rate of the workspace's plan, tokens what is left of it.
+	plan   float64
+	tokens float64
+	filled time.Duration
+}
+
+// within reports whether a request is within the plan. The whole fleet's
+// ledger is one bucket here.
+func (cl *client) within(at time.Duration) bool {
+	cl.tokens = min(cl.plan*planBurst, cl.tokens+cl.plan*(at-cl.filled).Seconds())
+	cl.filled = at
+	if cl.tokens < 1 {
+		return false
+	}
+	cl.tokens--
+	return true
 }
 
 // answered is the end of one attempt as its entry sees it.
@@ -81,6 +97,11 @@
 	r := &request{client: cl, class: class, level: level, first: first, resends: resends, deadline: s.at + patience, share: 1}
 	s.after(clientTime, func() {
 		r.entry = s.anyDaemon()
+		if s.cfg.real && s.cfg.planned && !cl.within(s.at) {
+			s.out.overPlan(first, level)
+			s.finish(r, false)
+			return
+		}
 		if s.cfg.real {
 			a := r.entry.shed.Admit(s.now(), s.rng, class, level)
 			r.share = a.Share
--- a/internal/policy/sqchain/result_test.go
+++ b/internal/policy/sqchain/result_test.go
@@ -1,6 +1,10 @@
 package sqchain
 
 import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
@@ -29,6 +33,41 @@
 	return float64(good) / float64(max(1, sent))
 }
 
+// lost is the number of requests that did not succeed.
+func (t *tally) lost(from, to time.Duration) int {
+	lost := 0
+	for i := from / bucket; i < to/bucket; i++ {
+		lost += t.sent[i] - t.good[i]
+	}
+	return lost
+}
+
+// figures are what one run has measured:
+//   - goodput: whole requests while the cause lasts, as part of the capacity;
+//   - recovery: seconds from the end of the cause until the part served is
+//     0.95 of that before, and stays so;
+//   - worst: the part served of the worst workspace but the surging one;
+//   - critical, low, before: the part served of those requests, and of all
+//     before the cause; criticalLost: the number of critical ones that failed;
+//   - wasted: the part of the targets' work for requests that failed;
+//   - load: calls offered to the deepest service for each request admitted;
+//   - extra: the greatest number of extra attempts for one request.
+type figures map[string]float64
+
+// table is the median and the range of each figure.
+func table(runs []figures) string {
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(runs[0])) {
+		var v []float64
+		for i := range runs {
+			v = append(v, runs[i][name])
+		}
+		slices.Sort(v)
+		fmt.Fprintf(&b, " %s %.3f [%.3f %.3f]", name, v[len(v)/2], v[0], v[len(v)-1])
+	}
+	return b.String()
+}
+
 // counters are totals up to a time.
 type counters struct {
 	work, useful time.Duration
@@ -66,6 +105,12 @@
 	}
 }
 
+// overPlan takes back a request that was over its plan from those of its
+// importance: it has no claim to be served.
+func (r *result) overPlan(first time.Duration, i squnit.Importance) {
+	r.byImportance[i].sent[min(int(first/bucket), len(r.all.sent)-1)]--
+}
+
 func (r *result) count(at time.Duration, q *request, ok bool) {
 	if !ok {
 		return
