--- a/internal/standin/sqdemo/events.go
+++ b/internal/standin/sqdemo/events.go
@@ -40,6 +40,12 @@
 	return m, nil
 }
 
+const (
+	crossRate = 300
+	crossSeed = 2000
+	stopSeed  = 1000
+)
+
 // cross has every calendar target send some answers twice and cut others.
 func (d *Demo) cross(ctx context.Context, _ *marks) error {
 	d.at(surgeFrom)
@@ -49,7 +55,16 @@
 	if err := d.behave(ctx, sqtargetstand.Behaviour{CrossEvery: 5, TruncateEvery: 9}); err != nil {
 		return err
 	}
-	d.at(crossFrom + crossFor)
+	// Through one entry, so that connections to targets are used again at once.
+	cfg := d.config(visitor, crossRate)
+	cfg.Seed += crossSeed
+	cfg.Entries = cfg.Entries[:1]
+	cfg.Duration = sqsettings.Span(crossFor)
+	result, err := sqload.Run(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	d.extra = append(d.extra, result.Samples...)
 	return d.behave(ctx, sqtargetstand.Behaviour{})
 }
 
@@ -154,7 +169,7 @@
 	d.at(stopAt - time.Second)
 	daemon := d.daemon(stoppedSeat)
 	cfg := d.config(visitor, visitorRate)
-	cfg.Seed += 1000
+	cfg.Seed += stopSeed
 	cfg.Entries = []string{daemon.Entry()}
 	cfg.Duration = sqsettings.Span(2 * time.Second)
 	done := make(chan error, 1)
--- a/internal/standin/sqdemo/judge.go
+++ b/internal/standin/sqdemo/judge.go
@@ -163,9 +163,9 @@
 
 func (d *Demo) judgeKill(e *sqverify.Evidence, m *marks) {
 	end := d.start.Add(outageFrom).UnixNano()
-	took, ok := e.Recovery(d.span(0, surgeFrom), m.killed, end)
+	took, ok := e.Recovery(d.span(0, surgeFrom), m.killed, end, from(grower))
 	d.add(sqverdict.Row{
-		What: "a killed daemon is out of use within seconds", How: "until requests are whole again",
+		What: "a killed daemon is out of use within seconds", How: "the workspace inside its rate, until requests are whole again",
 		Figure: took.Round(time.Millisecond).String(), Verdict: sqverdict.Of(ok && took <= killSettled),
 		Reason: fmt.Sprintf("not within %v", killSettled),
 	})
--- a/internal/standin/sqexperiment/figures.go
+++ b/internal/standin/sqexperiment/figures.go
@@ -69,7 +69,7 @@
 	out.DuringShare = out.During / min(out.Capacity*f.causeCapacity(), offered)
 	critical := e.Served(cause, func(s *sqload.Sample) bool { return s.Importance == squnit.ImportanceCritical })
 	out.CriticalShare = critical.Share()
-	if took, ok := e.Recovery(before, cause.To, after.To); ok {
+	if took, ok := e.Recovery(before, cause.To, after.To, nil); ok {
 		out.Recovery = took.Seconds()
 	}
 	if n := result.All.InRate; n > 0 {
--- a/internal/standin/sqverify/figures.go
+++ b/internal/standin/sqverify/figures.go
@@ -77,19 +77,23 @@
 // Recovery returns the time from the end of a cause until requests are again
 // answered whole at RecoveredShare of the share before, counted over a window
 // of half a second by the scheduled time and at every later window as well.
-// It returns false if that is not so at the end of the run.
-func (e *Evidence) Recovery(before Span, causeEnd, runEnd int64) (time.Duration, bool) {
-	want := RecoveredShare * e.Served(before, nil).Share()
+// Requests for which keep is false are left out; a nil keep takes all. It
+// returns false if the fleet has not recovered at the end of the run.
+func (e *Evidence) Recovery(before Span, causeEnd, runEnd int64, keep func(*sqload.Sample) bool) (time.Duration, bool) {
+	want := RecoveredShare * e.Served(before, keep).Share()
 	recovered, ok := int64(0), false
 	for from := causeEnd; from+int64(recoveryWindow) <= runEnd; from += int64(recoveryStep) {
-		served := e.Served(Span{from, from + int64(recoveryWindow)}, nil)
+		served := e.Served(Span{from, from + int64(recoveryWindow)}, keep)
 		good := served.Share() >= want
 		if good && !ok {
 			recovered = from
 		}
 		ok = good
 	}
-	return time.Duration(recovered - causeEnd), ok
+	if !ok {
+		return 0, false
+	}
+	return time.Duration(recovered - causeEnd), true
 }
 
 // Wasted returns the part of the work of targets that went into requests that
--- a/internal/standin/sqverify/verify_test.go
+++ b/internal/standin/sqverify/verify_test.go
@@ -139,10 +139,10 @@
 		e.Samples = append(e.Samples, sqload.Sample{Scheduled: at, Ended: at, Whole: whole})
 	}
 	before := Span{0, 2 * second}
-	after, ok := e.Recovery(before, 4*second, 10*second)
+	after, ok := e.Recovery(before, 4*second, 10*second, nil)
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, after > 900*time.Millisecond && after <= time.Second, qt.IsTrue, qt.Commentf("%v", after))
-	_, ok = e.Recovery(before, 2*second, 4*second)
+	_, ok = e.Recovery(before, 2*second, 4*second, nil)
 	qt.Assert(t, ok, qt.IsFalse)
 	qt.Assert(t, e.Goodput(before), qt.Equals, 100.0)
 }
