--- a/internal/standin/sqexperiment/figures.go
+++ b/internal/standin/sqexperiment/figures.go
@@ -35,8 +35,11 @@
 	// the same tenth of a second, were served.
 	CriticalLost int `json:"criticalLost"`
 	// WronglyRefused is the part of the attempts inside the rate that were
-	// refused for rate.
+	// refused for rate, of the workspaces that do not surge.
 	WronglyRefused float64 `json:"wronglyRefused"`
+	// SurgeAdmitted is what was not refused for rate of the workspaces that
+	// surge, by what one bucket would admit.
+	SurgeAdmitted float64 `json:"surgeAdmitted"`
 	// WorstExcess is the largest excess over any plan's rate and burst, in
 	// requests; at most 0 holds.
 	WorstExcess float64 `json:"worstExcess"`
@@ -72,12 +75,8 @@
 	if took, ok := e.Recovery(before, cause.To, after.To, nil); ok {
 		out.Recovery = took.Seconds()
 	}
-	if n := result.All.InRate; n > 0 {
-		out.WronglyRefused = float64(result.All.RefusedInRate) / float64(n)
-	}
-	if n := result.All.Requests; n > 0 {
-		out.Sends = float64(result.All.Attempts) / float64(n)
-	}
+	out.WronglyRefused, out.SurgeAdmitted = f.rateShares(result)
+	out.Sends = ratio(result.All.Attempts, result.All.Requests)
 	return out
 }
 
@@ -110,6 +109,31 @@
 	return least
 }
 
+// rateShares returns Figures.WronglyRefused and Figures.SurgeAdmitted.
+func (f *File) rateShares(result *sqload.Result) (wronglyRefused, surgeAdmitted float64) {
+	var inRate, refused, surgeInRate, surgeTaken int
+	for _, w := range f.Workspaces {
+		a := result.ByWorkspace[w.Name]
+		switch {
+		case a == nil:
+		case w.Surges:
+			surgeInRate += a.InRate
+			surgeTaken += a.Attempts - a.RefusedForRate
+		default:
+			inRate += a.InRate
+			refused += a.RefusedInRate
+		}
+	}
+	return ratio(refused, inRate), ratio(surgeTaken, surgeInRate)
+}
+
+func ratio(a, b int) float64 {
+	if b == 0 {
+		return 0
+	}
+	return float64(a) / float64(b)
+}
+
 func (f *File) worstShare(e *sqverify.Evidence, span sqverify.Span) float64 {
 	worst := 1.0
 	for _, w := range f.Workspaces {
@@ -187,6 +211,7 @@
 	{"critical share", func(f *Figures) float64 { return f.CriticalShare }},
 	{"critical lost", func(f *Figures) float64 { return float64(f.CriticalLost) }},
 	{"wrongly refused", func(f *Figures) float64 { return f.WronglyRefused }},
+	{"surge admitted", func(f *Figures) float64 { return f.SurgeAdmitted }},
 	{"worst excess", func(f *Figures) float64 { return f.WorstExcess }},
 	{"wasted", func(f *Figures) float64 { return f.Wasted }},
 	{"deepest calls", func(f *Figures) float64 { return f.Deepest }},
--- a/internal/standin/sqexperiment/file.go
+++ b/internal/standin/sqexperiment/file.go
@@ -39,6 +39,10 @@
 	CauseCapacity float64 `toml:"causeCapacity"`
 	// Timeout is what callers ask for.
 	Timeout sqsettings.Span `toml:"timeout"`
+	// Arrivals is as in the load tool; empty is Poisson.
+	Arrivals string `toml:"arrivals"`
+	// Entries is the number of daemons that callers send to; 0 is all.
+	Entries int `toml:"entries"`
 	// Fleet is what is run.
 	Fleet sqfleet.Layout `toml:"fleet"`
 	// Workspaces send the load.
@@ -164,7 +168,12 @@
 
 // load returns the load for a seed, sent to some entries.
 func (f *File) load(seed uint64, entries []string, tenants []sqfleet.Tenant) sqload.Config {
-	cfg := sqload.Config{Seed: seed, Entries: entries, Duration: f.Duration, Timeout: f.Timeout}
+	if f.Entries > 0 {
+		entries = entries[:f.Entries]
+	}
+	cfg := sqload.Config{
+		Seed: seed, Entries: entries, Duration: f.Duration, Timeout: f.Timeout, Arrivals: f.Arrivals,
+	}
 	for i, w := range f.Workspaces {
 		w.Key = tenants[i].Key
 		cfg.Workspaces = append(cfg.Workspaces, w.Workspace)
--- a/internal/standin/sqexperiment/size.go
+++ b/internal/standin/sqexperiment/size.go
@@ -251,7 +251,15 @@
 func (s *Sizes) kill(ctx context.Context, f *sqfleet.Fleet, out *SizeFigures, _ sqload.Config) error {
 	victim := f.Daemons()[0]
 	others := f.Daemons()[1:]
+	unknown, err := unknownTo(ctx, f, others, victim)
+	if err != nil {
+		return err
+	}
 	victim.Kill()
+	if unknown {
+		// The statuses never named it, so they can't tell when it is gone.
+		return nil
+	}
 	start := time.Now()
 	for time.Since(start) < killedWait {
 		gone, err := unknownTo(ctx, f, others, victim)
--- a/internal/standin/sqload/result.go
+++ b/internal/standin/sqload/result.go
@@ -44,11 +44,14 @@
 	Cut     int `json:"cut"`
 	Crossed int `json:"crossed"`
 	// RefusedInRate counts attempts inside the plan's rate refused for rate.
-	RefusedInRate int            `json:"refusedInRate"`
-	InRate        int            `json:"inRate"`
-	Status        map[int]int    `json:"status"`
-	Reason        map[string]int `json:"reason"`
-	Run           map[string]int `json:"run"`
+	RefusedInRate int `json:"refusedInRate"`
+	// InRate counts attempts inside the plan's rate, RefusedForRate all that
+	// were refused for rate.
+	InRate         int            `json:"inRate"`
+	RefusedForRate int            `json:"refusedForRate"`
+	Status         map[int]int    `json:"status"`
+	Reason         map[string]int `json:"reason"`
+	Run            map[string]int `json:"run"`
 	// Latency is of whole requests, from their scheduled time.
 	Latency Latency `json:"latency"`
 
@@ -157,6 +160,9 @@
 	if t.Crossed {
 		a.Crossed++
 	}
+	if t.RefusedForRate() {
+		a.RefusedForRate++
+	}
 	if t.InRate {
 		a.InRate++
 		if t.RefusedForRate() {
