--- a/internal/standin/sqexperiment/size.go
+++ b/internal/standin/sqexperiment/size.go
@@ -13,8 +13,6 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 	"github.com/sequoiatack/sequoiatack/internal/standin/sqfleet"
-	"github.com/sequoiatack/sequoiatack/internal/standin/sqload"
-	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
 )
 
 // Sizes measures fleets of several sizes at rest: what control costs, how
@@ -56,6 +54,9 @@
 	Ready   float64     `json:"ready"`
 	Healthy RestFigures `json:"healthy"`
 	Outage  RestFigures `json:"outage"`
+	// HealthyRate and OutageRate are of load inside and above the rate.
+	HealthyRate RateFigures `json:"healthyRate"`
+	OutageRate  RateFigures `json:"outageRate"`
 	// Changes are the times until a change was in force everywhere, in order.
 	Changes []float64 `json:"changes"`
 	// KilledOut is the time until no daemon routes to a killed one any more,
@@ -70,6 +71,8 @@
 	everywhereWait              = 10 * time.Second
 	statusEvery                 = 20 * time.Millisecond
 	killedWait                  = 15 * time.Second
+	// stride spreads changes over the daemons.
+	stride = 7
 )
 
 // Run measures one size after the other.
@@ -102,25 +105,18 @@
 	}
 	defer f.Stop()
 	out.Ready = time.Since(start).Seconds()
-	tenant := sqfleet.Tenant{
-		Name: latencyName, Key: sqid.NewKey(), Rate: 1000, Burst: 1000,
-		Uses: []sqlists.Use{{
-			Service: latencyService, Importance: squnit.ImportanceNormal,
-			Timeout: sqlists.Duration(latencyTimeout), Retries: 2,
-		}},
-	}
-	if _, err := f.PutLists(ctx, f.Daemons()[0], sqfleet.Lists([]sqfleet.Tenant{tenant})); err != nil {
+	tenants := sizeTenants()
+	if _, err := f.PutLists(ctx, f.Daemons()[0], sqfleet.Lists(tenants)); err != nil {
 		return nil, errors.Wrap(err, "put the lists")
 	}
-	cfg := (&Latency{Rate: 1}).config(tenant, f.Daemons()[0].Entry())
+	cfg := (&Latency{Rate: 1}).config(tenants[0], f.Daemons()[0].Entry())
 	if err := WaitServing(ctx, f, cfg); err != nil {
 		return nil, err
 	}
 	time.Sleep(settleTime)
-	for _, step := range []func(context.Context, *sqfleet.Fleet, *SizeFigures, sqload.Config) error{
-		s.rest, s.outage, s.changes, s.kill,
-	} {
-		if err := step(ctx, f, out, cfg); err != nil {
+	m := &sizeRun{fleet: f, tenants: tenants, out: out}
+	for _, step := range []func(context.Context, *sizeRun) error{s.rest, s.outage, s.changes, s.kill} {
+		if err := step(ctx, m); err != nil {
 			return nil, err
 		}
 	}
@@ -128,21 +124,35 @@
 	return out, nil
 }
 
-func (s *Sizes) rest(ctx context.Context, f *sqfleet.Fleet, out *SizeFigures, _ sqload.Config) (err error) {
-	out.Healthy, err = s.atRest(ctx, f)
+// sizeRun is one size while it is measured.
+type sizeRun struct {
+	fleet   *sqfleet.Fleet
+	tenants []sqfleet.Tenant
+	out     *SizeFigures
+}
+
+func (s *Sizes) rest(ctx context.Context, m *sizeRun) error {
+	var err error
+	if m.out.Healthy, err = s.atRest(ctx, m.fleet); err != nil {
+		return err
+	}
+	m.out.HealthyRate, err = m.rates(ctx, healthySeed)
 	return err
 }
 
-func (s *Sizes) outage(ctx context.Context, f *sqfleet.Fleet, out *SizeFigures, _ sqload.Config) error {
-	if err := f.SetFaults(ctx, map[string]any{"down": true}); err != nil {
+func (s *Sizes) outage(ctx context.Context, m *sizeRun) error {
+	if err := m.fleet.SetFaults(ctx, map[string]any{"down": true}); err != nil {
 		return err
 	}
 	time.Sleep(settleTime)
 	var err error
-	if out.Outage, err = s.atRest(ctx, f); err != nil {
+	if m.out.Outage, err = s.atRest(ctx, m.fleet); err != nil {
+		return err
+	}
+	if m.out.OutageRate, err = m.rates(ctx, outageSeed); err != nil {
 		return err
 	}
-	if err := f.SetFaults(ctx, map[string]any{"down": false}); err != nil {
+	if err := m.fleet.SetFaults(ctx, map[string]any{"down": false}); err != nil {
 		return err
 	}
 	time.Sleep(settleTime)
@@ -225,33 +235,30 @@
 
 // changes swaps the key of the workspace and polls every daemon until it
 // takes the new one.
-func (s *Sizes) changes(ctx context.Context, f *sqfleet.Fleet, out *SizeFigures, cfg sqload.Config) error {
-	daemons := f.Daemons()
+func (s *Sizes) changes(ctx context.Context, m *sizeRun) error {
+	daemons := m.fleet.Daemons()
 	for n := range s.Changes {
 		key := sqid.NewKey()
-		row := sqlists.Workspace{Name: latencyName, Plan: sqid.PlanID(latencyName), KeyDigests: []sqid.KeyDigest{
-			sqid.DigestKey(cfg.Workspaces[0].Key), sqid.DigestKey(key),
-		}}
-		at := daemons[n*7%len(daemons)]
-		if _, err := f.PutList(ctx, at, "workspaces", []sqlists.Workspace{row}); err != nil {
+		lists := sqfleet.Lists(m.tenants)
+		lists.Workspaces[0].KeyDigests = append(lists.Workspaces[0].KeyDigests, sqid.DigestKey(key))
+		at := daemons[n*stride%len(daemons)]
+		if _, err := m.fleet.PutList(ctx, at, "workspaces", lists.Workspaces); err != nil {
 			return errors.Wrap(err, "change the lists")
 		}
-		took, err := TakenEverywhere(ctx, f, key, time.Now())
+		took, err := TakenEverywhere(ctx, m.fleet, key, time.Now())
 		if err != nil {
 			return err
 		}
-		out.Changes = append(out.Changes, took.Seconds())
+		m.out.Changes = append(m.out.Changes, took.Seconds())
 	}
-	slices.Sort(out.Changes)
+	slices.Sort(m.out.Changes)
 	return nil
 }
 
-// kill ends a daemon with a target and probes through a daemon of the same
-// data centre until a row of probes needs no other attempt.
-func (s *Sizes) kill(ctx context.Context, f *sqfleet.Fleet, out *SizeFigures, _ sqload.Config) error {
-	victim := f.Daemons()[0]
-	others := f.Daemons()[1:]
-	unknown, err := unknownTo(ctx, f, others, victim)
+// kill ends a daemon and polls the others until none shows it as alive.
+func (s *Sizes) kill(ctx context.Context, m *sizeRun) error {
+	victim, others := m.fleet.Daemons()[0], m.fleet.Daemons()[1:]
+	unknown, err := unknownTo(ctx, m.fleet, others, victim)
 	if err != nil {
 		return err
 	}
@@ -262,12 +269,12 @@
 	}
 	start := time.Now()
 	for time.Since(start) < killedWait {
-		gone, err := unknownTo(ctx, f, others, victim)
+		gone, err := unknownTo(ctx, m.fleet, others, victim)
 		if err != nil {
 			return err
 		}
 		if gone {
-			out.KilledOut = time.Since(start).Seconds()
+			m.out.KilledOut = time.Since(start).Seconds()
 			return nil
 		}
 		time.Sleep(statusEvery)
@@ -278,15 +285,15 @@
 // WriteSizes writes the figures of all sizes as text.
 func WriteSizes(w io.Writer, all []SizeFigures) error {
 	t := tabwriter.NewWriter(w, 0, 0, tablePadding, ' ', 0)
-	fmt.Fprintln(t, "daemons\tready s\tstate\tplatform calls/s\tsent B/s mean, max\treceived B/s mean, max\tcpu % mean, max\tRSS MB max\tchange everywhere s p50, p99, max\tkilled out s")
+	fmt.Fprintln(t, "daemons\tready s\tstate\tplatform calls/s\tsent B/s mean, max\treceived B/s mean, max\tcpu % mean, max\tRSS MB max\tchange everywhere s p50, p99, max\tkilled out s\trefused in rate\tworst excess")
 	for _, f := range all {
-		writeRest(t, &f, "healthy", &f.Healthy)
-		writeRest(t, &f, "outage", &f.Outage)
+		writeRest(t, &f, "healthy", &f.Healthy, &f.HealthyRate)
+		writeRest(t, &f, "outage", &f.Outage, &f.OutageRate)
 	}
 	return t.Flush()
 }
 
-func writeRest(w io.Writer, f *SizeFigures, state string, r *RestFigures) {
+func writeRest(w io.Writer, f *SizeFigures, state string, r *RestFigures, rate *RateFigures) {
 	const percent, mega = 100, 1 << 20
 	total := 0.0
 	for kind, v := range r.PlatformCalls {
@@ -294,10 +301,11 @@
 			total += v
 		}
 	}
-	fmt.Fprintf(w, "%d\t%.1f\t%s\t%.2f\t%.0f, %.0f\t%.0f, %.0f\t%.2f, %.2f\t%.0f\t%.2f, %.2f, %.2f\t%.2f\n",
+	fmt.Fprintf(w, "%d\t%.1f\t%s\t%.2f\t%.0f, %.0f\t%.0f, %.0f\t%.2f, %.2f\t%.0f\t%.2f, %.2f, %.2f\t%.2f\t%d of %d\t%.1f\n",
 		f.Daemons, f.Ready, state, total, r.SentMean, r.SentMax, r.ReceivedMean, r.ReceivedMax,
 		r.CPUMean*percent, r.CPUMax*percent, float64(r.ResidentMax)/mega,
-		quantile(f.Changes, 0.5), quantile(f.Changes, 0.99), quantile(f.Changes, 1), f.KilledOut)
+		quantile(f.Changes, 0.5), quantile(f.Changes, 0.99), quantile(f.Changes, 1), f.KilledOut,
+		rate.Refused, rate.InRate, rate.WorstExcess)
 }
 
 func quantile(sorted []float64, q float64) float64 {
--- /dev/null
+++ b/internal/standin/sqverdict/verdict_test.go
@@ -0,0 +1,27 @@
+package sqverdict
+
+import (
+	"bytes"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sequoiatack/sequoiatack/internal/standin/sqverify"
+)
+
+// TestNotBuilt checks that what is not built yet is neither held nor failed,
+// and that the table names it.
+func TestNotBuilt(t *testing.T) {
+	rows := []Row{
+		Violations("a", "b", nil),
+		{What: "c", How: "d", Verdict: NotBuilt, Reason: "no such route"},
+	}
+	qt.Assert(t, rows[0].Verdict, qt.Equals, Held)
+	qt.Assert(t, AllHeld(rows), qt.IsTrue)
+	var b bytes.Buffer
+	qt.Assert(t, WriteTable(&b, rows), qt.IsNil)
+	qt.Assert(t, b.String(), qt.Contains, "not built yet: c: no such route")
+	rows = append(rows, Violations("e", "f", []sqverify.Violation{{RequestID: "1", What: "w"}}))
+	qt.Assert(t, AllHeld(rows), qt.IsFalse)
+	qt.Assert(t, rows[2].Reason, qt.Equals, "1: w")
+}
