--- a/cmd/sequoia-standin/load.go
+++ b/cmd/sequoia-standin/load.go
@@ -16,7 +16,28 @@
 	c := &cobra.Command{
 		Use:   "load",
 		Short: "Send open-loop load and account for every answer",
-		Args:  cobra.NoArgs,
+		Long: `Send open-loop load: a late answer never slows the senders, and latency is
+counted from the scheduled time. An example of the settings:
+
+  seed = 1
+  entries = ["http://127.0.0.1:8080"]
+  duration = "10s"
+  timeout = "1s"
+
+  [[workspaces]]
+  name = "grower"
+  key = "sq_..."
+  rate = 100
+  phases = [{ from = "3s", factor = 5.0 }, { from = "6s", factor = 1.0 }]
+  planRate = 120         # what the plan gives, to find wrong refusals
+  planBurst = 60
+  repeats = 2            # how often a failed request is sent again
+  backoff = "20ms"
+  routes = [
+    { path = "/calendar/slots", share = 0.7, importance = "normal" },
+    { method = "POST", path = "/calendar/bookings", share = 0.3, operations = true, bodyBytes = 200 },
+  ]`,
+		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			cfg, err := sqload.LoadConfig(settings)
 			if err != nil {
--- a/cmd/sequoia-standin/target.go
+++ b/cmd/sequoia-standin/target.go
@@ -14,7 +14,15 @@
 	c := &cobra.Command{
 		Use:   "target",
 		Short: "Serve one instance of a service, with faults that can be switched",
-		Args:  cobra.NoArgs,
+		Long: `Serve one instance of a service. It announces itself to the daemon at
+--localAddress, renews, and at SIGTERM drains and withdraws itself.
+
+On --controlAddress:
+  GET, PUT /v1/behaviour   what it does wrong, such as {"slow":5,"shedAbove":20}:
+                           slow, coldFor, coldFactor, shedAbove, shedAll, failEvery,
+                           truncateEvery, hangEvery, crossEvery, loadLie, loadLies
+  GET /v1/runs             every call that reached it, and what became of it`,
+		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			cfg := flags
 			if file != "" {
--- a/internal/standin/sqdemo/events.go
+++ b/internal/standin/sqdemo/events.go
@@ -25,13 +25,14 @@
 	stopResult *sqload.Result
 	killed     int64
 	operations int
+	upload     sqload.Sample
 }
 
 // events brings about everything that the demo shows, in order of time.
 func (d *Demo) events(ctx context.Context) (*marks, error) {
 	m := &marks{}
 	for _, event := range []func(context.Context, *marks) error{
-		d.cross, d.repeat, d.withdraw, d.drain, d.stop, d.kill, d.outage,
+		d.cross, d.repeat, d.withdraw, d.sendPhoto, d.drain, d.stop, d.kill, d.outage,
 	} {
 		if err := event(ctx, m); err != nil {
 			return nil, err
@@ -153,6 +154,15 @@
 
 const unauthorized = 401
 
+// sendPhoto sends one large body.
+func (d *Demo) sendPhoto(ctx context.Context, m *marks) error {
+	d.say("a body of %d MiB is sent", photoBytes>>20)
+	prober := sqload.NewProber(d.config(visitor, visitorRate))
+	m.upload = prober.Send(ctx, d.entries()[0], fmt.Sprintf("%d-photo-0", d.Seed), "", photoRoute)
+	d.extra = append(d.extra, m.upload)
+	return nil
+}
+
 // drain ends a target in the planned way.
 func (d *Demo) drain(ctx context.Context, m *marks) error {
 	m.drained = d.at(drainAt)
--- a/internal/standin/sqdemo/judge.go
+++ b/internal/standin/sqdemo/judge.go
@@ -33,6 +33,7 @@
 	d.judgeKill(e, m)
 	d.judgeOutage(e)
 	d.judgeOperations(e, m)
+	d.judgePhoto(m)
 	d.add(sqverdict.Violations("answers are whole and the caller's own", "request id and workspace in each answer", e.Crossed()))
 	d.add(sqverdict.Violations("\"not-run\" is true", "answers against the targets' records", e.FalseNotRun()))
 	d.add(sqverdict.Violations("\"run\" is true", "answers against the targets' records", e.FalseRun()))
@@ -200,6 +201,15 @@
 	})
 }
 
+func (d *Demo) judgePhoto(m *marks) {
+	a := m.upload.Attempts[0]
+	d.add(sqverdict.Row{
+		What: "a large body passes whole", How: fmt.Sprintf("%d MiB, its size as the target read it", photoBytes>>20),
+		Figure: time.Duration(a.Ended - a.Sent).Round(time.Millisecond).String(), Verdict: sqverdict.Of(a.Whole),
+		Reason: fmt.Sprintf("status %d, %s, %s", a.Status, a.Reason, a.Err),
+	})
+}
+
 // stopFleet ends every daemon in the planned way and adds a row for it.
 func (d *Demo) stopFleet(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, stopDeadline)
--- a/internal/standin/sqdemo/scene.go
+++ b/internal/standin/sqdemo/scene.go
@@ -44,6 +44,8 @@
 
 	writeShare = 0.3
 	retries    = 2
+
+	photoBytes squnit.Bytes = 64 << 20
 )
 
 var (
@@ -52,6 +54,9 @@
 		Method: http.MethodPost, Path: "/calendar/bookings", Share: writeShare,
 		Importance: squnit.ImportanceCritical, Operations: true, BodyBytes: 200,
 	}
+	photoRoute = sqload.Route{
+		Method: http.MethodPost, Path: "/calendar/photos", Importance: squnit.ImportanceCritical, BodyBytes: photoBytes,
+	}
 )
 
 func layout() sqfleet.Layout {
