--- a/internal/standin/sqdemo/events.go
+++ b/internal/standin/sqdemo/events.go
@@ -25,13 +25,14 @@
 	stopResult *sqload.Result
 	killed     int64
 	operations int
+	upload     sqload.Sample
 }
 
 // events brings about everything that the demo shows, in order of time.
 func (d *Demo) events(ctx context.Context) (*marks, error) {
 	m := &marks{}
 	for _, event := range []func(context.Context, *marks) error{
-		d.cross, d.repeat, d.withdraw, d.drain, d.stop, d.kill, d.outage,
+		d.cross, d.repeat, d.withdraw, d.sendPhoto, d.drain, d.stop, d.kill, d.outage,
 	} {
 		if err := event(ctx, m); err != nil {
 			return nil, err
@@ -40,6 +41,12 @@
 	return m, nil
 }
 
+const (
+	crossRate = 300
+	crossSeed = 2000
+	stopSeed  = 1000
+)
+
 // cross has every calendar target send some answers twice and cut others.
 func (d *Demo) cross(ctx context.Context, _ *marks) error {
 	d.at(surgeFrom)
@@ -49,7 +56,16 @@
 	if err := d.behave(ctx, sqtargetstand.Behaviour{CrossEvery: 5, TruncateEvery: 9}); err != nil {
 		return err
 	}
-	d.at(crossFrom + crossFor)
+	// Through one entry, so that connections to targets are used again at once.
+	cfg := d.config(visitor, crossRate)
+	cfg.Seed += crossSeed
+	cfg.Entries = cfg.Entries[:1]
+	cfg.Duration = sqsettings.Span(crossFor)
+	result, err := sqload.Run(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	d.extra = append(d.extra, result.Samples...)
 	return d.behave(ctx, sqtargetstand.Behaviour{})
 }
 
@@ -138,6 +154,15 @@
 
 const unauthorized = 401
 
+// sendPhoto sends one large body.
+func (d *Demo) sendPhoto(ctx context.Context, m *marks) error {
+	d.say("a body of %d MiB is sent", photoBytes>>20)
+	prober := sqload.NewProber(d.config(visitor, visitorRate))
+	m.upload = prober.Send(ctx, d.entries()[0], fmt.Sprintf("%d-photo-0", d.Seed), "", photoRoute)
+	d.extra = append(d.extra, m.upload)
+	return nil
+}
+
 // drain ends a target in the planned way.
 func (d *Demo) drain(ctx context.Context, m *marks) error {
 	m.drained = d.at(drainAt)
@@ -154,7 +179,7 @@
 	d.at(stopAt - time.Second)
 	daemon := d.daemon(stoppedSeat)
 	cfg := d.config(visitor, visitorRate)
-	cfg.Seed += 1000
+	cfg.Seed += stopSeed
 	cfg.Entries = []string{daemon.Entry()}
 	cfg.Duration = sqsettings.Span(2 * time.Second)
 	done := make(chan error, 1)
