--- a/cmd/sequoiatack/main.go
+++ b/cmd/sequoiatack/main.go
@@ -12,7 +12,9 @@
 )
 
 // subcommands lists what the program can do, each from a file of its own.
-var subcommands = []func() *cobra.Command{}
+var subcommands = []func() *cobra.Command{
+	newDaemon,
+}
 
 func main() {
 	os.Exit(run())
--- a/internal/edge/sqdaemon/build.go
+++ b/internal/edge/sqdaemon/build.go
@@ -31,6 +31,8 @@
 	fleetName   = "sequoiatack"
 	targetsTick = 20 * time.Millisecond
 	routerTick  = time.Second
+	// evidenceTick is short, since a change should be seen at once.
+	evidenceTick = 500 * time.Millisecond
 )
 
 // build makes the parts and subscribes the systems to the timer.
@@ -82,6 +84,8 @@
 		Store: d.platform, Holder: d.holder, Logger: d.Logger,
 		Watching: d.member.Watcher, Publish: d.publish, Repair: d.acceptor.Repair,
 	}
+	d.evidence = &evidence{centre: d.Settings.DataCentre, member: d.member, holder: d.holder, publish: d.publish}
+	d.timer.Subscribe(evidenceTick, d.evidence)
 	d.member.OnFact(sqlists.FactLists, d.holder.ApplyFact)
 	d.member.OnFact(sqlists.FactEvidence, d.holder.ApplyEvidence)
 }
--- a/internal/edge/sqdaemon/daemon.go
+++ b/internal/edge/sqdaemon/daemon.go
@@ -47,6 +47,7 @@
 	member   *sqmember.Member
 	gossip   *sqgossip.Transport
 	seeds    *sqgossip.Seeding
+	evidence *evidence
 	ledger   *sqledger.Ledger
 	books    *sqclaim.Books
 	targets  *sqgate.Targets
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -232,7 +232,7 @@
 
 // class is what the request's shedding is decided by.
 func (q *request) class() sqshed.Class {
-	return sqshed.Class{Service: q.service, Workspace: q.workspace, Importance: q.importance}
+	return sqshed.Class{Service: q.service, Workspace: q.workspace}
 }
 
 // shed refuses a request that the services have no room for.
@@ -240,7 +240,7 @@
 	if q.parent != nil {
 		return nil
 	}
-	d := q.entry.Router.Shed.Admit(time.Now(), newRand(), q.class())
+	d := q.entry.Router.Shed.Admit(time.Now(), newRand(), q.class(), q.importance)
 	q.share = d.Share
 	if !d.OK {
 		return refuse(d.Reason, nil)
--- a/internal/edge/sqentry/router.go
+++ b/internal/edge/sqentry/router.go
@@ -73,13 +73,16 @@
 	if l == nil {
 		return
 	}
-	own := sqshed.Room{Service: q.service, Level: squnit.Importance(l.GetLevel()), Share: squnit.Share(1 - l.GetShed())}
+	own := sqshed.Room{
+		Service: q.service, Level: squnit.Importance(l.GetLevel()),
+		Share: squnit.Share(1 - l.GetShed()), All: squnit.Share(1 - l.GetShedAll()),
+	}
 	deeper := roomsOf(l)
 	if q.parent != nil {
 		q.parent.Learned(own, deeper)
 		return
 	}
-	t.Shed.Learn(now, q.class(), own.Share, deeper)
+	t.Shed.Learn(now, q.class(), own, deeper)
 }
 
 func outcomeOf(refusal *sqerror.Error) sqadmit.Outcome {
@@ -100,7 +103,7 @@
 	return &sqadmit.Load{
 		Level: squnit.Importance(l.GetLevel()), InFlight: int(l.GetInFlight()), Limit: int(l.GetLimit()),
 		Queued: int(l.GetQueued()), Usual: time.Duration(l.GetUsualUs()) * time.Microsecond,
-		Share: squnit.Share(1 - l.GetShed()),
+		Share: squnit.Share(1 - l.GetShed()), All: squnit.Share(1 - l.GetShedAll()),
 	}
 }
 
@@ -108,7 +111,8 @@
 	rooms := make([]sqshed.Room, 0, len(l.GetDeeper()))
 	for _, d := range l.GetDeeper() {
 		rooms = append(rooms, sqshed.Room{
-			Service: sqid.ServiceID(d.GetService()), Level: squnit.Importance(d.GetLevel()), Share: squnit.Share(1 - d.GetShed()),
+			Service: sqid.ServiceID(d.GetService()), Level: squnit.Importance(d.GetLevel()),
+			Share: squnit.Share(1 - d.GetShed()), All: squnit.Share(1 - d.GetShedAll()),
 		})
 	}
 	return rooms
--- a/internal/edge/sqgate/door.go
+++ b/internal/edge/sqgate/door.go
@@ -24,7 +24,7 @@
 	Done(now time.Time, id sqid.CallID, r sqadmit.Result) sqadmit.Effect
 	Cancel(now time.Time, id sqid.CallID) (bool, sqadmit.Effect)
 	Tick(now time.Time) sqadmit.Effect
-	Load(now time.Time, w sqid.WorkspaceID, i squnit.Importance) sqadmit.Load
+	Load(now time.Time, w sqid.WorkspaceID) sqadmit.Load
 }
 
 // door lets calls through to one target as its admission decides.
@@ -60,6 +60,12 @@
 	return d.inside + len(d.waiting)
 }
 
+func (d *door) load() (running, queued int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.inside, len(d.waiting)
+}
+
 func (d *door) tick(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -175,9 +181,9 @@
 	if t == nil {
 		return nil
 	}
-	l := t.door.admission.Load(time.Now(), t.call.Workspace, t.call.Importance)
+	l := t.door.admission.Load(time.Now(), t.call.Workspace)
 	return &sqcallwire.Load{
 		Level: uint32(l.Level), InFlight: uint32(l.InFlight), Limit: uint32(l.Limit), Queued: uint32(l.Queued),
-		UsualUs: l.Usual.Microseconds(), Shed: float64(1 - l.Share),
+		UsualUs: l.Usual.Microseconds(), Shed: float64(1 - l.Share), ShedAll: float64(1 - l.All),
 	}
 }
--- a/internal/edge/sqgate/exchange.go
+++ b/internal/edge/sqgate/exchange.go
@@ -221,10 +221,14 @@
 }
 
 func outcomeOf(e *sqerror.Error) sqadmit.Outcome {
-	if e.Reason == sqreason.ShedByTarget {
+	switch e.Reason {
+	case sqreason.ShedByTarget:
 		return sqadmit.Shed
+	case sqreason.CallerGone:
+		return sqadmit.Cancelled
+	default:
+		return sqadmit.Failed
 	}
-	return sqadmit.Failed
 }
 
 // load returns the target's state and that of the services below it.
@@ -232,7 +236,7 @@
 	l := x.ticket.load()
 	for _, r := range x.call.Rooms() {
 		l.Deeper = append(l.Deeper, &sqcallwire.ServiceLevel{
-			Service: string(r.Service), Level: uint32(r.Level), Shed: float64(1 - r.Share),
+			Service: string(r.Service), Level: uint32(r.Level), Shed: float64(1 - r.Share), ShedAll: float64(1 - r.All),
 		})
 	}
 	return l
--- a/internal/edge/sqgate/targets.go
+++ b/internal/edge/sqgate/targets.go
@@ -36,6 +36,11 @@
 	door *door
 }
 
+// Load returns how many calls the target runs and how many wait for it.
+func (l *Local) Load() (running, queued int) {
+	return l.door.load()
+}
+
 // Listener hears of changes of the local targets, to tell the other daemons.
 type Listener interface {
 	// TargetChanged is called when a target was announced anew, has other
--- a/internal/policy/sqnaive/naive.go
+++ b/internal/policy/sqnaive/naive.go
@@ -92,10 +92,10 @@
 func (a *Admission) Tick(time.Time) sqadmit.Effect { return sqadmit.Effect{} }
 
 // Load tells of no shedding.
-func (a *Admission) Load(time.Time, sqid.WorkspaceID, squnit.Importance) sqadmit.Load {
+func (a *Admission) Load(time.Time, sqid.WorkspaceID) sqadmit.Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return sqadmit.Load{InFlight: a.running, Limit: a.slots, Queued: len(a.queue), Share: 1}
+	return sqadmit.Load{InFlight: a.running, Limit: a.slots, Queued: len(a.queue), Share: 1, All: 1}
 }
 
 func (a *Admission) advance() sqadmit.Effect {
