--- /dev/null
+++ b/cmd/sequoia-standin/load.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/sequoiatack/sequoiatack/internal/standin/sqload"
+)
+
+func newLoad() *cobra.Command {
+	var settings, samples, output string
+	c := &cobra.Command{
+		Use:   "load",
+		Short: "Send open-loop load and account for every answer",
+		Long: `Send open-loop load: a late answer never slows the senders, and latency is
+counted from the scheduled time. An example of the settings:
+
+  seed = 1
+  entries = ["http://127.0.0.1:8080"]
+  duration = "10s"
+  timeout = "1s"
+
+  [[workspaces]]
+  name = "grower"
+  key = "sq_..."
+  rate = 100
+  phases = [{ from = "3s", factor = 5.0 }, { from = "6s", factor = 1.0 }]
+  planRate = 120         # what the plan gives, to find wrong refusals
+  planBurst = 60
+  repeats = 2            # how often a failed request is sent again
+  backoff = "20ms"
+  routes = [
+    { path = "/calendar/slots", share = 0.7, importance = "normal" },
+    { method = "POST", path = "/calendar/bookings", share = 0.3, operations = true, bodyBytes = 200 },
+  ]`,
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			cfg, err := sqload.LoadConfig(settings)
+			if err != nil {
+				return err
+			}
+			result, err := sqload.Run(c.Context(), cfg)
+			if err != nil {
+				return err
+			}
+			if err := writeSamples(samples, result); err != nil {
+				return err
+			}
+			return writeResult(c, output, result)
+		},
+	}
+	c.Flags().StringVar(&settings, "settings", "", "TOML file with entries, workspaces and phases")
+	c.Flags().StringVar(&samples, "samples", "", "file to write every request to, as JSON lines")
+	c.Flags().StringVar(&output, "output", "text", "text or json")
+	_ = c.MarkFlagRequired("settings")
+	return c
+}
+
+func writeResult(c *cobra.Command, output string, result *sqload.Result) error {
+	if output == "json" {
+		return json.NewEncoder(c.OutOrStdout()).Encode(result)
+	}
+	return result.WriteTable(c.OutOrStdout())
+}
+
+func writeSamples(file string, result *sqload.Result) (err error) {
+	if file == "" {
+		return nil
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return errors.Wrap(err, "samples")
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	return result.WriteSamples(f)
+}
+
+// splitCall splits "service /path".
+func splitCall(text string) (service, path string, err error) {
+	service, path, ok := strings.Cut(text, " ")
+	if !ok || !strings.HasPrefix(path, "/") {
+		return "", "", errors.Errorf("%q is not \"service /path\"", text)
+	}
+	return service, path, nil
+}
--- a/internal/base/sqsettings/settings.go
+++ b/internal/base/sqsettings/settings.go
@@ -15,6 +15,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 )
 
 // Settings are one daemon's settings, as in its TOML file.
@@ -31,9 +32,28 @@
 	AdminKeyDigests   []sqid.KeyDigest  `toml:"adminKeyDigests"`
 	StopTimeout       Span              `toml:"stopTimeout"`
 	StaleListsAfter   Span              `toml:"staleListsAfter"`
-	Log               Log               `toml:"log"`
+	// LinkBytesPerSecond is what calls may use of the link from this daemon's
+	// region to each other one, over all daemons of the region.
+	LinkBytesPerSecond squnit.Bytes `toml:"linkBytesPerSecond"`
+	Log                Log          `toml:"log"`
+	// Policy is what decides under load; the naive ones are for comparison.
+	Policy Policy `toml:"policy"`
 }
 
+// Policy names what decides under load.
+type Policy string
+
+// The policies.
+const (
+	// PolicyFull is the product's own.
+	PolicyFull Policy = "full"
+	// PolicyFixed limits each target to its announced slots, in order of
+	// arrival, and retries without a budget.
+	PolicyFixed Policy = "fixed"
+	// PolicyNone has no limits at targets.
+	PolicyNone Policy = "none"
+)
+
 // Log are the settings of the log.
 type Log struct {
 	Level string `toml:"level"`
@@ -60,11 +80,12 @@
 const (
 	defaultStopTimeout = 30 * time.Second
 	defaultLogLevel    = "info"
+	defaultLinkBytes   = squnit.Bytes(3_000_000)
 )
 
 // Defaults returns the settings that hold where a file says nothing.
 func Defaults() Settings {
-	return Settings{StopTimeout: Span(defaultStopTimeout), Log: Log{Level: defaultLogLevel}}
+	return Settings{StopTimeout: Span(defaultStopTimeout), Log: Log{Level: defaultLogLevel}, Policy: PolicyFull, LinkBytesPerSecond: defaultLinkBytes}
 }
 
 // Fault is one thing that is wrong with a file.
--- /dev/null
+++ b/internal/edge/sqentry/request.go
@@ -0,0 +1,256 @@
+package sqentry
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqretry"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqshed"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
+	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
+)
+
+const (
+	// deadlineGrace is what the entry waits past the deadline for the gate's
+	// own word, which knows whether the call has run.
+	deadlineGrace = 50 * time.Millisecond
+	// maxReroutes bounds the attempts that no target saw because the daemon
+	// at the other end is leaving or gone; they cost no credit.
+	maxReroutes = 3
+)
+
+// request is one request on its way through the entry.
+type request struct {
+	entry *Entry
+
+	service       sqid.ServiceID
+	path          string
+	method        string
+	key           string
+	workspace     sqid.WorkspaceID
+	importance    squnit.Importance
+	weight        squnit.Weight
+	nonIdempotent bool
+	deadline      time.Time
+	credit        squnit.Credit
+	depth         squnit.Depth
+	root          string
+	share         squnit.Share
+	operation     string
+	record        *record
+	headers       []*sqcallwire.Header
+	contentLength int64
+	body          *body
+
+	// parent is the call that a nested call is made for, and grant the part
+	// of its credit that came with it.
+	parent *sqcall.Call
+	grant  squnit.Credit
+
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tried    []sqtarget.ID
+	reroutes int
+	sheds    int
+}
+
+func (e *Entry) newRequest(r *http.Request, s sqid.ServiceID, path string, deadline time.Time) *request {
+	q := &request{
+		entry: e, service: s, path: path, method: r.Method, deadline: deadline,
+		headers: sqheader.Outward(r.Header), contentLength: r.ContentLength,
+		operation: r.Header.Get(sqheader.IdempotencyKey),
+	}
+	q.ctx, q.cancel = context.WithDeadline(r.Context(), deadline.Add(deadlineGrace))
+	return q
+}
+
+// serve runs the request and answers it.
+func (q *request) serve(w http.ResponseWriter, r *http.Request) {
+	defer func() { q.cancel() }()
+	refusal := q.prepare(w, r)
+	switch {
+	case refusal != nil:
+	case q.named():
+		refusal = q.serveOperation(w, r)
+	default:
+		refusal = q.attempts(w)
+	}
+	if refusal != nil {
+		q.entry.refuse(w, refusal)
+	}
+}
+
+// prepare reads the body's first part and charges the request.
+func (q *request) prepare(w http.ResponseWriter, r *http.Request) *sqerror.Error {
+	if r.ContentLength > int64(MaxBodyBytes) {
+		return refuse(sqreason.BodyTooLarge, nil)
+	}
+	if !q.entry.Router.Known(q.service) {
+		return refuse(sqreason.ServiceUnknown, nil)
+	}
+	if refusal := q.charge(q.ctx); refusal != nil {
+		return refusal
+	}
+	if refusal := q.shed(); refusal != nil {
+		return refusal
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, int64(MaxBodyBytes))
+	b, err := readBody(r)
+	if err != nil {
+		return bodyRefusal(err)
+	}
+	q.body = b
+	if !b.whole {
+		// Without it the server reads all of the body before it answers.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
+	return nil
+}
+
+func bodyRefusal(err error) *sqerror.Error {
+	if _, ok := errors.Into[*http.MaxBytesError](err); ok {
+		return refuse(sqreason.BodyTooLarge, nil)
+	}
+	return refuse(sqreason.CallerGone, errors.Wrap(err, "read body"))
+}
+
+// attempts tries targets until one answers or a refusal stands.
+func (q *request) attempts(w http.ResponseWriter) *sqerror.Error {
+	var last *sqerror.Error
+	for {
+		target, reason := q.entry.Router.pick(q)
+		if reason != sqreason.NoReason {
+			return cmp.Or(last, refuse(reason, nil))
+		}
+		q.tried = append(q.tried, target.ID)
+		refusal := q.attempt(w, target)
+		if refusal == nil {
+			return nil
+		}
+		if !q.retry(refusal) {
+			return refusal
+		}
+		last = refusal
+	}
+}
+
+// retry decides whether another attempt is made after a refusal, and waits
+// for as long as it should be put off.
+func (q *request) retry(e *sqerror.Error) bool {
+	if q.reroute(e) {
+		q.entry.Metrics.Retries.WithLabelValues(string(sqreason.RetryPeerDown)).Inc()
+		return true
+	}
+	now := time.Now()
+	budget := q.entry.Router.budget(q.service)
+	if shedReason(e.Reason) {
+		q.sheds++
+	}
+	verdict := sqretry.Decide(newRand(), sqretry.Attempt{
+		NonIdempotent: q.nonIdempotent,
+		Run:           e.Run,
+		Reason:        e.Reason,
+		Tries:         len(q.tried) - q.reroutes,
+		Sheds:         q.sheds,
+		Left:          q.deadline.Sub(now),
+		Usual:         q.entry.Router.Route.Usual(q.service),
+		Credit:        q.credit,
+		Budget:        budget.Left(now),
+		ServiceSheds:  q.entry.Router.Route.Sheds(now, q.service),
+		OtherTarget:   len(q.entry.Router.Targets.Service(q.service)) > len(q.tried),
+		BodySpent:     !q.body.again(),
+	})
+	q.entry.Metrics.Retries.WithLabelValues(string(verdict.Reason)).Inc()
+	if !verdict.Retry || !budget.Take(now) {
+		return false
+	}
+	q.credit--
+	if !verdict.ElsewhereOnly {
+		q.tried = nil
+	}
+	return q.pause(verdict.Backoff)
+}
+
+// reroute reports whether a refusal only says that the target is leaving or
+// gone: another place is asked then at no credit, a bounded number of times.
+func (q *request) reroute(e *sqerror.Error) bool {
+	if e.Run != squnit.RunNot || !leaving(e.Reason) || q.reroutes >= maxReroutes || !q.body.again() {
+		return false
+	}
+	if q.ctx.Err() != nil || !time.Now().Before(q.deadline) {
+		return false
+	}
+	q.reroutes++
+	return true
+}
+
+// pause waits, and reports whether the request still stands after that.
+func (q *request) pause(d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-q.ctx.Done():
+		return false
+	}
+}
+
+// shedReason reports whether a refusal says that a target is full.
+func shedReason(reason sqreason.Refusal) bool {
+	switch reason {
+	case sqreason.ShedQueueFull, sqreason.ShedImportance, sqreason.ShedFairness,
+		sqreason.ShedDeadline, sqreason.ShedByTarget:
+		return true
+	}
+	return false
+}
+
+// leaving reports whether a refusal says that a target is going, or gone.
+func leaving(reason sqreason.Refusal) bool {
+	switch reason {
+	case sqreason.TargetDraining, sqreason.TargetNone, sqreason.Stopping,
+		sqreason.PeerUnreachable, sqreason.TargetUnreachable:
+		return true
+	}
+	return false
+}
+
+// class is what the request's shedding is decided by.
+func (q *request) class() sqshed.Class {
+	return sqshed.Class{Service: q.service, Workspace: q.workspace}
+}
+
+// shed refuses a request that the services have no room for.
+func (q *request) shed() *sqerror.Error {
+	if q.parent != nil {
+		return nil
+	}
+	d := q.entry.Router.Shed.Admit(time.Now(), newRand(), q.class(), q.importance)
+	q.share = d.Share
+	if !d.OK {
+		return refuse(d.Reason, nil)
+	}
+	return nil
+}
+
+// end gives a nested call's unused credit back to its parent.
+func (q *request) end() {
+	q.parent.Ended(time.Now(), q.grant, max(q.credit, 0))
+}
+
+func formatLength(n int64) string { return strconv.FormatInt(n, 10) }
--- /dev/null
+++ b/internal/policy/sqadmit/gate.go
@@ -0,0 +1,407 @@
+// Package sqadmit decides which calls a target runs, which wait, and which are
+// refused. A Gate stands before one target. It holds calls in flight to a
+// limit that it learns, keeps a short queue ordered by importance, fairness
+// and what is under way, and tells the entries which part of each workspace's
+// calls there is room for, so that they refuse the rest before any work is
+// done (DAGOR, SoCC 2018; Breakwater, OSDI 2020; TopFull, SIGCOMM 2024).
+//
+// Every refusal and every drop is of a call that has not run.
+package sqadmit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+)
+
+const (
+	// reviewPeriod is the time between two divisions of the capacity.
+	reviewPeriod = 20 * time.Millisecond
+	// demandSpan and demandFactor give the time constant of the demand's
+	// average: demandSpan, or demandFactor usual times if that is longer.
+	demandSpan   = 200 * time.Millisecond
+	demandFactor = 4
+	// correctSpan and correctFactor give the time in which the shares aim to
+	// bring the queue to its reference length. It is longer than the way of a
+	// new share to the entries and of their calls back to the gate.
+	correctSpan   = 400 * time.Millisecond
+	correctFactor = 8
+	// queueTime bounds the queue to the calls that the target ends in that
+	// time, and to those that it runs at once.
+	queueTime = 100 * time.Millisecond
+	// underWayFactor is the ratio of the queue's bounds for calls under way
+	// to those for new ones.
+	underWayFactor = 6
+	// trimSpan is the time constant in which the capacity follows the calls
+	// under way that are shed, down to minTrim, and idle slots, up to maxTrim.
+	trimSpan = time.Second
+	// shedWeight is what a shed call counts for in idle ones.
+	shedWeight = 2
+	minTrim    = -0.05
+	maxTrim    = 0.15
+	// maxCorrection is the greatest part of the capacity that is taken to
+	// shorten the queue. What is on its way is more than the queue shows, and
+	// the queue drops it better than a cut that ends too late.
+	maxCorrection = 0.15
+	// referencePart is the reference length of the queue as part of its bound.
+	referencePart = 0.2
+	// minQueue and maxQueue bound the queue, in calls.
+	minQueue = 4
+	maxQueue = 256
+	// calmFor is the time without need to shed, or with less than busyPart of
+	// the limit in flight, after which a target that was strained is so no more.
+	calmFor  = 200 * time.Millisecond
+	busyPart = 0.8
+	// ageFactor is the mean age of the running calls, in usual times, from
+	// which the usual time counts as outdated; minAged is the least of them.
+	ageFactor = 1.5
+	minAged   = 4
+	// minWait is the time that any call may wait for a slot; beyond it, it may
+	// wait for the usual time.
+	minWait = 50 * time.Millisecond
+	// usualGain is the weight of one call in the usual time.
+	usualGain = 0.025
+)
+
+// Gate admits calls to one target. The zero value refuses nothing but has one
+// slot; Announce comes first. Its methods are safe for concurrent use and do
+// not block.
+type Gate struct {
+	mu      sync.Mutex
+	limit   Limit
+	usage   usage
+	queue   queue
+	demand  demand
+	running map[sqid.CallID]running
+	// ages is the sum over the running calls of the time since origin at
+	// which they started, in seconds.
+	ages   float64
+	origin time.Time
+	// usual is the usual time that a call holds its slot, in seconds.
+	usual float64
+	// lost counts calls under way that were shed since the last review; trim
+	// is the correction of the capacity that follows from it, as a part.
+	lost     int
+	trim     float64
+	draining bool
+	review   time.Time
+	// strained is set from a full queue on, until calmFor after the time shed,
+	// at which a class was last shed for good reason.
+	strained bool
+	shed     time.Time
+}
+
+// running is a call that holds a slot: the calls in flight when it got it, and
+// the time since the gate's origin, in seconds.
+type running struct {
+	inFlight int
+	at       float64
+}
+
+// Announce sets the slots that the target says it has, and ends a drain.
+func (g *Gate) Announce(now time.Time, slots squnit.Slots) Effect {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = false
+	g.limit.Announce(now, slots)
+	return g.advance(now)
+}
+
+// Drain refuses every call from now on; queued calls are dropped.
+func (g *Gate) Drain(time.Time) Effect {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+	var e Effect
+	for len(g.queue.waiters) > 0 {
+		c := g.queue.remove(0)
+		e.Dropped = append(e.Dropped, Drop{ID: c.ID, Reason: sqreason.TargetDraining})
+	}
+	return e
+}
+
+// Offer decides on a call. Its id must not be one that runs or waits.
+func (g *Gate) Offer(now time.Time, c Call) Decision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.draining {
+		return Decision{Verdict: Refused, Reason: sqreason.TargetDraining}
+	}
+	g.init(now)
+	g.demand.add(now, g.span(demandSpan, demandFactor), &c)
+	g.reviewShares(now)
+	if !now.Add(g.need()).Before(c.Deadline) {
+		return g.refuse(sqreason.ShedDeadline)
+	}
+	if len(g.queue.waiters) == 0 && len(g.running) < g.limit.Slots() {
+		g.start(now, &c)
+		return Decision{Verdict: Run}
+	}
+	g.queue.push(now, &c)
+	if len(g.queue.waiters) >= g.bound() {
+		g.strained, g.shed = true, now
+	}
+	effect := g.advance(now)
+	if drop, ok := g.evict(now); ok {
+		effect.Dropped = append(effect.Dropped, drop)
+	}
+	return g.decide(c.ID, effect)
+}
+
+// decide takes the offered call out of the effect.
+func (g *Gate) decide(id sqid.CallID, e Effect) Decision {
+	for i, run := range e.Run {
+		if run == id {
+			e.Run = append(e.Run[:i], e.Run[i+1:]...)
+			return Decision{Verdict: Run, Effect: e}
+		}
+	}
+	for i, drop := range e.Dropped {
+		if drop.ID == id {
+			e.Dropped = append(e.Dropped[:i], e.Dropped[i+1:]...)
+			d := g.refuse(drop.Reason)
+			d.Effect = e
+			return d
+		}
+	}
+	return Decision{Verdict: Queued, Effect: e}
+}
+
+// Done ends a call that held a slot. An id that holds none has no effect.
+func (g *Gate) Done(now time.Time, id sqid.CallID, r Result) Effect {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	run, ok := g.running[id]
+	if !ok {
+		return Effect{}
+	}
+	g.limit.Ended(now, run.inFlight, len(g.running), r)
+	delete(g.running, id)
+	g.ages -= run.at
+	g.measure(r)
+	g.reviewShares(now)
+	return g.advance(now)
+}
+
+// Cancel takes a queued call out of the queue, and reports whether it was
+// there: if so it has not run. A call that holds a slot keeps it until Done.
+func (g *Gate) Cancel(now time.Time, id sqid.CallID) (bool, Effect) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i := g.queue.find(id)
+	if i < 0 {
+		return false, Effect{}
+	}
+	g.queue.remove(i)
+	return true, g.advance(now)
+}
+
+// Tick drops queued calls whose deadline can't be met and renews the shares.
+// It is due every 20 ms while calls wait.
+func (g *Gate) Tick(now time.Time) Effect {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reviewShares(now)
+	return g.advance(now)
+}
+
+// Load returns the gate's state for a workspace.
+func (g *Gate) Load(now time.Time, w sqid.WorkspaceID) Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reviewShares(now)
+	return Load{
+		Level:    g.demand.level,
+		Share:    squnit.Share(g.demand.share(w)),
+		All:      squnit.Share(g.demand.all),
+		InFlight: len(g.running),
+		Limit:    g.limit.Slots(),
+		Queued:   len(g.queue.waiters),
+		Usual:    seconds(g.usual),
+	}
+}
+
+func (g *Gate) init(now time.Time) {
+	if g.running == nil {
+		g.running = make(map[sqid.CallID]running)
+		g.origin = now
+		g.queue.usage = &g.usage
+	}
+}
+
+func (g *Gate) start(now time.Time, c *Call) {
+	r := running{inFlight: len(g.running) + 1, at: now.Sub(g.origin).Seconds()}
+	g.running[c.ID] = r
+	g.ages += r.at
+	g.usage.start(c)
+}
+
+// measure takes the time of a call into the usual time. A call that ended
+// early says nothing, unless it had held its slot for longer than usual.
+func (g *Gate) measure(r Result) {
+	sample := r.Latency.Seconds()
+	if r.Outcome == OK || r.Outcome != Shed && sample > g.usual {
+		g.usual = average(g.usual, sample)
+	}
+}
+
+// advance drops what is late and fills free slots from the queue.
+func (g *Gate) advance(now time.Time) Effect {
+	var e Effect
+	if len(g.queue.waiters) == 0 {
+		return e
+	}
+	g.dropLate(now, &e)
+	for len(g.running) < g.limit.Slots() {
+		i := g.queue.best(now)
+		if i < 0 {
+			break
+		}
+		c := g.queue.remove(i)
+		g.start(now, &c)
+		e.Run = append(e.Run, c.ID)
+	}
+	return e
+}
+
+// dropLate drops the calls that can't end before their deadline if they take
+// the usual time, and those that have waited too long: a waiting call holds
+// slots of the services above.
+func (g *Gate) dropLate(now time.Time, e *Effect) {
+	need, wait := g.need(), max(minWait, seconds(g.usual))
+	for i := 0; i < len(g.queue.waiters); {
+		w := &g.queue.waiters[i]
+		patience := wait
+		if w.Depth > 0 {
+			patience *= underWayFactor
+		}
+		switch {
+		case !now.Add(need).Before(w.Deadline):
+			e.Dropped = append(e.Dropped, g.drop(i, sqreason.ShedDeadline))
+		case now.Sub(w.at) > patience:
+			e.Dropped = append(e.Dropped, g.drop(i, g.queue.why(i)))
+		default:
+			i++
+		}
+	}
+}
+
+// evict drops the worst call if the queue is too long. New calls alone make it
+// too long from its bound, with calls under way from underWayFactor times that.
+func (g *Gate) evict(now time.Time) (Drop, bool) {
+	bound := g.bound()
+	if len(g.queue.waiters) <= bound {
+		return Drop{}, false
+	}
+	i := g.queue.worst(now)
+	if len(g.queue.waiters) <= underWayFactor*bound && g.queue.waiters[i].Depth > 0 {
+		return Drop{}, false
+	}
+	reason := g.queue.why(i)
+	return g.drop(i, reason), true
+}
+
+// drop removes the waiting call at i.
+func (g *Gate) drop(i int, reason sqreason.Refusal) Drop {
+	c := g.queue.remove(i)
+	if c.Depth > 0 {
+		g.lost++
+	}
+	return Drop{ID: c.ID, Reason: reason}
+}
+
+// refuse returns a refusal that advises to wait for the queue to drain.
+func (g *Gate) refuse(reason sqreason.Refusal) Decision {
+	wait := g.usual * float64(len(g.queue.waiters)) / float64(g.limit.Slots())
+	return Decision{Verdict: Refused, Reason: reason, RetryAfter: max(reviewPeriod, seconds(wait))}
+}
+
+// need is the time that a call is sure to take once it has a slot.
+func (g *Gate) need() time.Duration {
+	return seconds(g.usual)
+}
+
+func (g *Gate) bound() int {
+	slots := float64(g.limit.Slots())
+	if g.usual > queueTime.Seconds() {
+		slots *= queueTime.Seconds() / g.usual
+	}
+	return min(maxQueue, max(minQueue, int(slots)))
+}
+
+// span is the longest of a time and a number of usual times.
+func (g *Gate) span(least time.Duration, factor float64) time.Duration {
+	return max(least, seconds(factor*g.usual))
+}
+
+// reviewShares divides the capacity between the classes of calls.
+func (g *Gate) reviewShares(now time.Time) {
+	if now.Sub(g.review) < reviewPeriod {
+		return
+	}
+	dt := now.Sub(g.review)
+	g.review = now
+	g.usage.decay(now)
+	g.adjustTrim(min(dt, trimSpan).Seconds())
+	if g.usual == 0 || !g.strained {
+		g.demand.admitAll()
+		return
+	}
+	g.demand.divide(now, g.span(demandSpan, demandFactor), g.capacity(now))
+	shedding := g.demand.level > squnit.ImportanceLow || g.demand.all < 1
+	if shedding && float64(len(g.running)+len(g.queue.waiters)) >= busyPart*float64(g.limit.Slots()) {
+		g.shed = now
+	}
+	g.strained = now.Sub(g.shed) <= calmFor
+}
+
+// adjustTrim moves the trim down by the part of the capacity that was shed
+// under way, and up by the part that was idle, over a time in seconds.
+func (g *Gate) adjustTrim(dt float64) {
+	lost := g.lost
+	g.lost = 0
+	if g.usual == 0 || dt <= 0 {
+		return
+	}
+	limit := float64(g.limit.Slots())
+	shed := float64(lost) * g.usual / limit
+	idle := max(0, limit-float64(len(g.running))) / limit * dt
+	g.trim = min(maxTrim, max(minTrim, g.trim+(idle-shedWeight*shed)/trimSpan.Seconds()))
+}
+
+// holdTime is the time that a call holds its slot, in seconds: the usual time,
+// or what the age of the running calls shows if the target has just become
+// slower, so that the calls which will tell have not ended yet.
+func (g *Gate) holdTime(now time.Time) float64 {
+	n := float64(len(g.running))
+	if n < minAged {
+		return g.usual
+	}
+	age := now.Sub(g.origin).Seconds() - g.ages/n
+	return max(g.usual, age/ageFactor)
+}
+
+// capacity is the calls a second that the target should get, so that the
+// queue reaches its reference length within a span.
+func (g *Gate) capacity(now time.Time) float64 {
+	limit := float64(g.limit.Slots())
+	reference := referencePart * float64(g.bound())
+	missing := reference + limit - float64(len(g.queue.waiters)+len(g.running))
+	usual := limit / g.holdTime(now)
+	correction := max(-maxCorrection, missing/g.span(correctSpan, correctFactor).Seconds()/usual)
+	return max(0, (1+g.trim+correction)*usual)
+}
+
+func average(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + usualGain*(sample-old)
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
