Take over only from members that are missing for a second; end the entries' streams after a stop

A member that is suspect for a moment lost its shards, and they stood idle for the guard; now a member has to be missing for a second. That a former life has ended is believed of the daemon itself alone, since the membership may raise an incarnation within one life. A stopped daemon's standing streams end shortly after its handover, or a graceful stop of its server would wait for them. The set of shares that others read is that of the record, which every daemon has.

--- a/internal/edge/sqledger/backup.go
+++ b/internal/edge/sqledger/backup.go
@@ -56,12 +56,14 @@
 	return others
 }
 
-// Shares returns the newest set of data centres that this daemon knows.
+// Shares returns the newest set of data centres in the data centre's record.
 func (l *Ledger) Shares() sqkeeper.SharesSet {
 	l.init()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.shares
+	r := l.view.Load().records[l.DataCentre]
+	if r == nil {
+		return sqkeeper.SharesSet{}
+	}
+	return r.NewestShares()
 }
 
 // errNotKept says that the daemon no longer keeps a shard.
--- a/internal/edge/sqledger/entry.go
+++ b/internal/edge/sqledger/entry.go
@@ -131,7 +131,10 @@
 		switch {
 		case err != nil:
 			l.suspects.add(address, anyShard, time.Now().Add(suspectTerm))
-			return notKeeping, err
+			if next, _ := l.Home(dc, s); next.Keeper.PeerAddress == address || try >= moveTries {
+				return notKeeping, err
+			}
+			continue
 		case o != notKeeping:
 			l.suspects.clear(address, s)
 			return o, nil
--- a/internal/edge/sqledger/handover.go
+++ b/internal/edge/sqledger/handover.go
@@ -20,6 +20,9 @@
 	handoverTimeout = time.Second
 	// retryPause is the pause between two tries to write a handover.
 	retryPause = 50 * time.Millisecond
+	// lingerTerm is how long the streams of entries stay open after a stop, so
+	// that the entries hear of the next keepers.
+	lingerTerm = 300 * time.Millisecond
 )
 
 // Giver is told of a planned handover.
@@ -41,13 +44,18 @@
 // before the record changes, and what it had lent is in the ledgers. Loans that
 // it had borrowed go back to their lenders. Charges that come meanwhile are
 // told to ask again and are not refused. Stop returns an error if ctx ends
-// before the record has changed; the shards then wait for a takeover.
+// before the record has changed; the shards then wait for a takeover. Shortly
+// after Stop the streams of the entries end.
 func (l *Ledger) Stop(ctx context.Context) error {
 	l.init()
 	l.mu.Lock()
+	again := l.stopping
 	l.stopping = true
 	r := l.machine.Record()
 	l.mu.Unlock()
+	if !again {
+		defer time.AfterFunc(lingerTerm, func() { close(l.ended) })
+	}
 	if r == nil || r.Roster.Index(l.Self) < 0 {
 		return nil
 	}
--- a/internal/edge/sqledger/ledger.go
+++ b/internal/edge/sqledger/ledger.go
@@ -96,6 +96,7 @@
 	stopping bool
 	followed map[sqid.DataCentreID]bool
 	needFrom time.Time
+	missing  map[sqkeeper.Member]time.Time
 
 	view     atomic.Pointer[view]
 	shards   [sqkeeper.ShardCount]shard
@@ -105,6 +106,7 @@
 	duties   duties
 	ctx      atomic.Pointer[context.Context]
 	began    time.Time
+	ended    chan struct{}
 	tasks    tasks
 }
 
@@ -146,6 +148,7 @@
 		for s := range l.shards {
 			l.shards[s].id = sqid.ShardID(s)
 		}
+		l.ended = make(chan struct{})
 		l.view.Store(&view{})
 	})
 }
--- a/internal/edge/sqledger/server.go
+++ b/internal/edge/sqledger/server.go
@@ -15,17 +15,17 @@
 	l *Ledger
 }
 
-// Charge answers an entry's charges as they come.
+// Charge answers an entry's charges as they come, until the entry or this
+// daemon ends.
 func (s *server) Charge(stream grpc.BidiStreamingServer[sqledgerwire.ChargeBatch, sqledgerwire.DecisionBatch]) error {
 	answers := &answerStream{l: s.l, stream: stream}
-	for {
-		batch, err := stream.Recv()
-		if err != nil {
-			return nil
-		}
-		if err := answers.serve(batch); err != nil {
-			return err
-		}
+	failed := make(chan error, 1)
+	go func() { failed <- answers.run() }()
+	select {
+	case err := <-failed:
+		return err
+	case <-s.l.ended:
+		return nil
 	}
 }
 
@@ -38,6 +38,19 @@
 	told sqid.Epoch
 }
 
+// run serves the batches until the entry ends the stream.
+func (a *answerStream) run() error {
+	for {
+		batch, err := a.stream.Recv()
+		if err != nil {
+			return nil
+		}
+		if err := a.serve(batch); err != nil {
+			return err
+		}
+	}
+}
+
 // serve answers what it can of a batch at once, in one message.
 func (a *answerStream) serve(batch *sqledgerwire.ChargeBatch) error {
 	now := make([]*sqledgerwire.ChargeDecision, 0, len(batch.Charges))
--- a/internal/edge/sqledger/upkeep.go
+++ b/internal/edge/sqledger/upkeep.go
@@ -33,6 +33,9 @@
 	// settleIn is how long a daemon that has just started leaves the record as
 	// it is: it may not know yet who is alive.
 	settleIn = 3 * time.Second
+	// missingTerm is how long a member of the roster may be missing before its
+	// shards are taken over: it may only be suspect for a moment.
+	missingTerm = time.Second
 )
 
 // duties are the periodic works of a Ledger.
@@ -264,11 +267,33 @@
 	return ok
 }
 
+// present returns the daemons that are alive or are missing for a short time
+// only. A daemon that has restarted is present with its newest life alone.
+func (l *Ledger) present(r *sqkeeper.Record, now time.Time) []sqkeeper.Member {
+	present := l.Members.Alive(l.DataCentre)
+	missing := make(map[sqkeeper.Member]time.Time)
+	for _, m := range r.Roster {
+		if slices.ContainsFunc(present, func(o sqkeeper.Member) bool { return o.Daemon == m.Daemon }) {
+			continue
+		}
+		since, ok := l.missing[m]
+		if !ok {
+			since = now
+		}
+		missing[m] = since
+		if now.Sub(since) < missingTerm {
+			present = append(present, m)
+		}
+	}
+	l.missing = missing
+	return present
+}
+
 // next returns the record that should follow r.
 func (l *Ledger) next(r *sqkeeper.Record, now time.Time) (*sqkeeper.Record, bool) {
-	alive := l.Members.Alive(l.DataCentre)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	alive := l.present(r, now)
 	if r != l.machine.Record() && r.Epoch != l.machine.Epoch() {
 		return nil, false
 	}
--- a/internal/edge/sqledger/witness.go
+++ b/internal/edge/sqledger/witness.go
@@ -182,17 +182,22 @@
 }
 
 // tell tells the members of earlier rosters that may not know of the newest
-// record.
+// record, or the daemons that now live under their names: only a daemon itself
+// can say that its former life has ended.
 func (l *Ledger) tell(ctx context.Context) {
 	alive, first := l.Members.Alive(l.DataCentre), l.rank() == 0
 	l.mu.Lock()
-	for _, m := range alive {
-		l.machine.Seen(m)
-	}
 	var unaware []sqkeeper.Member
 	if first || l.machine.Waiting() {
 		unaware = l.machine.Unaware(time.Now())
 	}
 	l.mu.Unlock()
+	for _, o := range unaware {
+		for _, m := range alive {
+			if m.Daemon == o.Daemon && m.PeerAddress != o.PeerAddress {
+				unaware = append(unaware, m)
+			}
+		}
+	}
 	l.consult(ctx, unaware)
 }
--- a/internal/state/sqkeeper/keeper.go
+++ b/internal/state/sqkeeper/keeper.go
@@ -187,17 +187,6 @@
 	m.advance(now)
 }
 
-// Seen notes a daemon's life; an earlier life of it has ended.
-func (m *Machine) Seen(o Member) {
-	if o.Incarnation <= m.heard[o.Daemon].incarnation {
-		return
-	}
-	if m.heard == nil {
-		m.heard = make(map[sqid.DaemonID]heard)
-	}
-	m.heard[o.Daemon] = heard{incarnation: o.Incarnation}
-}
-
 // Knows reports whether a daemon is known to know of the newest record.
 func (m *Machine) Knows(o Member) bool {
 	return m.knows(o, m.Epoch())
