Hold a charge for a token that is due within 30 ms instead of refusing it

All tokens of so small a plan are at its home, and groups that came 20 ms apart at the entries arrived there together. Ruled out: fractions of tokens stuck in shares (so small a plan is not split).

--- a/internal/edge/sqledger/borrow.go
+++ b/internal/edge/sqledger/borrow.go
@@ -19,6 +19,13 @@
 	lendTimeout = 250 * time.Millisecond
 	// awaitLimit is how long a charge may wait for other data centres.
 	awaitLimit = 300 * time.Millisecond
+	// patience is how long a charge may wait for a token that is due, so that
+	// requests which the ways to the keeper have pushed together are not
+	// refused.
+	patience = 30 * time.Millisecond
+	// patienceLimit is how long a charge may wait in all while tokens are due
+	// again and again; it covers some ways to another region.
+	patienceLimit = 100 * time.Millisecond
 	// leastBackoff and failBackoff are the pauses before a keeper that had no
 	// token, or did not answer, is asked again.
 	leastBackoff = 10 * time.Millisecond
@@ -57,8 +64,10 @@
 // soonest returns the smaller of two waits, of which a negative one is none.
 func soonest(a, b time.Duration) time.Duration {
 	switch {
+	case a < 0 && b < 0:
+		return failBackoff
 	case a < 0:
-		return max(b, 0)
+		return b
 	case b < 0:
 		return a
 	default:
@@ -105,7 +114,8 @@
 	}
 	if !b.asking {
 		dc, wait := l.nextLender(a, now)
-		if dc == "" {
+		local, _ := a.ledger.Until(now)
+		if wait = soonest(local, wait); dc == "" && wait > patience {
 			return wait, false
 		}
 		b.asking = true
@@ -118,10 +128,16 @@
 // ask asks the data centres in turn until no charge waits.
 func (l *Ledger) ask(ctx context.Context, a *account) {
 	for {
-		dc, n, want := l.nextAsk(a)
+		dc, n, want, pause := l.nextAsk(a)
 		if n == 0 {
 			return
 		}
+		if dc == "" {
+			if sleep(ctx, pause) != nil {
+				return
+			}
+			continue
+		}
 		sent := time.Now()
 		answer, err := l.lend(ctx, dc, &sqledgerwire.LendRequest{
 			Workspace: string(a.workspace), Spend: uint32(n),
@@ -132,29 +148,51 @@
 }
 
 // nextAsk settles the waiting charges that can be, and returns whom to ask for
-// how many of the others.
-func (l *Ledger) nextAsk(a *account) (sqid.DataCentreID, int, sqlimit.Capacity) {
+// how many of the others; nobody for the time of the pause if a token is due
+// by then.
+func (l *Ledger) nextAsk(a *account) (dc sqid.DataCentreID, n int, want sqlimit.Capacity, pause time.Duration) {
 	a.shard.mu.Lock()
 	defer a.shard.mu.Unlock()
 	now, b := time.Now(), &a.borrowing
 	if !l.current(a, now) {
 		b.settle(len(b.waiting), notKeeping)
 		b.asking = false
-		return "", 0, sqlimit.Capacity{}
+		return "", 0, sqlimit.Capacity{}, 0
 	}
 	b.settle(l.spend(a, now, len(b.waiting)), admitted)
-	late := 0
-	for late < len(b.waiting) && now.Sub(b.waiting[late].since) >= awaitLimit {
-		late++
-	}
-	b.settle(late, refused(leastBackoff))
+	b.settle(b.older(now, awaitLimit), refused(leastBackoff))
 	dc, wait := l.nextLender(a, now)
 	if dc == "" {
-		after, _ := a.ledger.Until(now)
-		b.settle(len(b.waiting), refused(soonest(after, wait)))
+		local, _ := a.ledger.Until(now)
+		pause = max(time.Millisecond, soonest(local, wait))
+		b.settle(b.older(now, patienceLimit), refused(pause))
+		due := int(float64(a.plan.Rate)*patience.Seconds()) + 1
+		if pause > patience {
+			due = 0
+		}
+		b.refuseFrom(due, pause)
 	}
 	b.asking = len(b.waiting) > 0
-	return dc, min(len(b.waiting), waitLimit), l.want(a, now)
+	return dc, len(b.waiting), l.want(a, now), pause
+}
+
+// older returns the number of charges that have waited for the limit.
+func (b *borrowing) older(now time.Time, limit time.Duration) int {
+	n := 0
+	for n < len(b.waiting) && now.Sub(b.waiting[n].since) >= limit {
+		n++
+	}
+	return n
+}
+
+// refuseFrom refuses the waiting charges behind the first n.
+func (b *borrowing) refuseFrom(n int, after time.Duration) {
+	n = min(n, len(b.waiting))
+	for _, w := range b.waiting[n:] {
+		w.reply(refused(after))
+	}
+	clear(b.waiting[n:])
+	b.waiting = b.waiting[:n]
 }
 
 // current reports whether the account may still be spent.
--- a/internal/edge/sqledger/fleet_test.go
+++ b/internal/edge/sqledger/fleet_test.go
@@ -174,9 +174,11 @@
 	drop, double float64
 	late         time.Duration
 	delay        func(from, to sqid.DataCentreID) time.Duration
-	tune         func(*Ledger)
-	spent        map[sqid.WorkspaceID][]time.Time
-	lends        int
+	// group is the number of charges that come at the same time.
+	group int
+	tune  func(*Ledger)
+	spent map[sqid.WorkspaceID][]time.Time
+	lends int
 }
 
 type fact struct {
--- a/internal/edge/sqledger/ledger_test.go
+++ b/internal/edge/sqledger/ledger_test.go
@@ -27,40 +27,26 @@
 	var t tally
 	ideal := sqlimit.Bucket{Capacity: plan, Tokens: plan.Burst, Time: time.Now()}
 	end, done := time.Now().Add(span), make(chan bool, 1<<16)
-	next := time.Now()
-	for {
-		next = next.Add(time.Duration(f.loads.ExpFloat64() / load * float64(time.Second)))
+	group := max(1, f.group)
+	for next := time.Now(); ; {
+		next = next.Add(time.Duration(f.loads.ExpFloat64() * float64(group) / load * float64(time.Second)))
 		if next.After(end) {
 			break
 		}
 		time.Sleep(time.Until(next))
-		ideal.Advance(time.Now())
-		within := ideal.Take(1)
-		n := entry()
-		if n == nil {
-			continue
-		}
-		t.sent++
-		go func() {
-			sent := time.Now()
-			d, err := n.Charge(f.ctx, w)
-			f.mu.Lock()
-			t.wait += time.Since(sent)
-			t.longest = max(t.longest, time.Since(sent))
-			switch {
-			case err != nil:
-				t.failed++
-			case d.Admitted:
-				t.admitted++
-			default:
-				t.refused++
-			}
-			if within && !d.Admitted {
-				t.wrongly++
+		for range group {
+			n := entry()
+			if n == nil {
+				continue
 			}
-			f.mu.Unlock()
-			done <- true
-		}()
+			t.sent++
+			ideal.Advance(time.Now())
+			within := ideal.Take(1)
+			go func() {
+				f.charge(&t, n, w, within)
+				done <- true
+			}()
+		}
 	}
 	for range t.sent {
 		<-done
@@ -68,6 +54,27 @@
 	return t
 }
 
+// charge sends one charge and counts its outcome.
+func (f *fleet) charge(t *tally, n *node, w sqid.WorkspaceID, within bool) {
+	sent := time.Now()
+	d, err := n.Charge(f.ctx, w)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.wait += time.Since(sent)
+	t.longest = max(t.longest, time.Since(sent))
+	switch {
+	case err != nil:
+		t.failed++
+	case d.Admitted:
+		t.admitted++
+	default:
+		t.refused++
+	}
+	if within && !d.Admitted {
+		t.wrongly++
+	}
+}
+
 func (f *fleet) anyEntry() *node {
 	names := f.known()
 	return f.node(names[f.loads.IntN(len(names))])
