--- a/internal/policy/sqlimit/ledger.go
+++ b/internal/policy/sqlimit/ledger.go
@@ -83,14 +83,11 @@
 }
 
 func (l *Ledger) resize() {
-	own := l.share
-	for _, h := range l.lent {
-		own = own.Minus(h.Capacity)
-	}
+	have := l.own()
 	for _, h := range l.borrowed {
-		own = own.Plus(h.Capacity)
+		have = have.Plus(h.Capacity)
 	}
-	l.bucket.Resize(own)
+	l.bucket.Resize(have)
 }
 
 // Decision is the answer to a charge.
@@ -136,21 +133,21 @@
 	return Capacity{Rate: rate, Burst: plan.Burst * squnit.Tokens(rate/plan.Rate)}
 }
 
-// Lend grants a loan of at most what is wanted and never more than is free.
-// The ledger has stopped using it when Lend returns.
+// Lend grants a loan of at most what is wanted and never more than is free of
+// the ledger's own share: what is borrowed can't be lent on, since it may end
+// before the loan. The ledger has stopped using the loan when Lend returns.
 func (l *Ledger) Lend(now time.Time, id LoanID, wanted Capacity) (Loan, bool) {
 	l.advance(now)
-	have := l.bucket.Capacity
-	free := min(have.Rate-l.demand.at(now)*headroom, have.Rate*(1-reserve))
-	if have.Rate <= 0 || free <= 0 || wanted.Rate <= 0 {
+	have, own := l.bucket.Capacity, l.own()
+	free := min(have.Rate-l.demand.at(now)*headroom, own.Rate*(1-reserve))
+	if free <= 0 || wanted.Rate <= 0 {
 		return Loan{}, false
 	}
-	part := min(float64(wanted.Rate), float64(free)) / float64(have.Rate)
-	lent := have.Times(part)
+	lent := own.Times(float64(min(wanted.Rate, free) / own.Rate))
 	if lent.Burst < leastLoan {
 		return Loan{}, false
 	}
-	loan := Loan{ID: id, Capacity: lent, Tokens: l.bucket.Tokens * squnit.Tokens(part)}
+	loan := Loan{ID: id, Capacity: lent, Tokens: l.bucket.Tokens * min(1, lent.Burst/have.Burst)}
 	l.bucket.Tokens -= loan.Tokens
 	if l.terms.loose {
 		return loan, true
@@ -160,6 +157,15 @@
 	return loan, true
 }
 
+// own returns what is left of the share without what is lent.
+func (l *Ledger) own() Capacity {
+	own := l.share
+	for _, h := range l.lent {
+		own = own.Minus(h.Capacity)
+	}
+	return own
+}
+
 func (l *Ledger) lenderEnd(now time.Time) time.Time {
 	return now.Add(l.terms.Loan + l.terms.Drift)
 }
@@ -192,7 +198,8 @@
 }
 
 // Borrow takes in a loan that was asked for at sent. It reports false, and
-// changes nothing, if the term is over or the loan is already held.
+// changes nothing, if the term is over or the loan is already held. The answer
+// to one request must be taken in once at most, by the ledger that asked.
 func (l *Ledger) Borrow(now, sent time.Time, loan Loan) bool {
 	l.advance(now)
 	end := sent.Add(l.terms.Loan)
