--- a/internal/edge/sqdaemon/adapt.go
+++ b/internal/edge/sqdaemon/adapt.go
@@ -72,7 +72,7 @@
 
 // Index returns the index of the lists, nil before any are known.
 func (l lists) Index() *sqlists.Index {
-	if l.d.holder.Revision() == 0 {
+	if !l.d.listsKnown() {
 		return nil
 	}
 	return l.d.holder.Index()
--- a/internal/edge/sqdaemon/daemon.go
+++ b/internal/edge/sqdaemon/daemon.go
@@ -101,12 +101,20 @@
 	g.Go(func() error { return d.follower.Run(run) })
 	g.Go(func() error { return d.ledger.Run(run) })
 	g.Go(func() error { return d.books.Run(run) })
-	g.Go(func() error { return errors.Wrap(d.peers.Serve(d.peerListener), "serve peers") })
+	g.Go(d.servePeers)
 	for _, e := range []*endpoint{d.callers, d.local, d.admin} {
 		g.Go(e.serve)
 	}
 }
 
+// servePeers returns nil once the server was stopped.
+func (d *Daemon) servePeers() error {
+	if err := d.peers.Serve(d.peerListener); err != nil {
+		return errors.Wrap(err, "serve peers")
+	}
+	return nil
+}
+
 // listen binds every address before anything is served.
 func (d *Daemon) listen() error {
 	var err error
@@ -123,13 +131,19 @@
 	return err
 }
 
+// listsKnown reports whether this daemon has heard of any lists; a fleet to
+// which none have been given has empty ones.
+func (d *Daemon) listsKnown() bool {
+	return d.holder.Revision() > 0 || !d.holder.Confirmed().IsZero()
+}
+
 // ready returns why the daemon does not serve callers now, nil if it does.
 func (d *Daemon) ready() error {
 	switch {
 	case d.stopping.Load():
 		return errors.New("stopping")
-	case d.holder.Revision() == 0:
-		return errors.New("no lists are known yet")
+	case !d.listsKnown():
+		return errors.New("the lists are not known yet")
 	case (lists{d}).Stale(time.Now()):
 		return errors.New("lists are stale")
 	}
--- a/internal/edge/sqgate/exchange.go
+++ b/internal/edge/sqgate/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -25,29 +24,9 @@
 // FrameBytes is the size of a body's part in one frame.
 const FrameBytes = 64 << 10
 
-const (
-	targetConnectTimeout = 500 * time.Millisecond
-	targetIdleTimeout    = 60 * time.Second
-	targetIdleConns      = 256
-	targetHeaderBytes    = 256 << 10
-)
-
 // buffers holds the buffers of answers under way.
 var buffers = sqpool.Pool[[FrameBytes]byte]{New: func() *[FrameBytes]byte { return new([FrameBytes]byte) }}
 
-// NewTransport returns the transport to local targets. It follows no
-// redirect, uses no proxy of the environment and changes no body.
-func NewTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:            dialer(targetConnectTimeout),
-		MaxIdleConnsPerHost:    targetIdleConns,
-		IdleConnTimeout:        targetIdleTimeout,
-		MaxResponseHeaderBytes: targetHeaderBytes,
-		DisableCompression:     true,
-		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
-	}
-}
-
 // exchange is one call with its target.
 type exchange struct {
 	gate   *Gate
--- a/internal/edge/sqgate/targets.go
+++ b/internal/edge/sqgate/targets.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -178,8 +177,3 @@
 	ticket.address = row.Address
 	return ticket, refusal
 }
-
-func dialer(timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout}
-	return d.DialContext
-}
--- a/internal/edge/sqledger/backup.go
+++ b/internal/edge/sqledger/backup.go
@@ -56,12 +56,19 @@
 	return others
 }
 
-// Shares returns the newest set of data centres that this daemon knows.
+// Shares returns the newest set of data centres that this daemon knows, from
+// the platform or from any keepers record. Its epoch never goes back.
 func (l *Ledger) Shares() sqkeeper.SharesSet {
 	l.init()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.shares
+	newest := l.shares
+	for _, r := range l.records {
+		if s := r.NewestShares(); s.Epoch > newest.Epoch {
+			newest = s
+		}
+	}
+	return newest
 }
 
 // errNotKept says that the daemon no longer keeps a shard.
