--- a/cmd/sequoiatack/main.go
+++ b/cmd/sequoiatack/main.go
@@ -8,11 +8,18 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
 )
 
 // subcommands lists what the program can do, each from a file of its own.
-var subcommands = []func() *cobra.Command{}
+var subcommands = []func() *cobra.Command{
+	newDaemon,
+	newSettings,
+	newLists,
+	newStatus,
+	newKey,
+}
 
 func main() {
 	os.Exit(run())
@@ -31,8 +38,10 @@
 	if err == nil {
 		return 0
 	}
-	fmt.Fprintln(os.Stderr, "sequoiatack:", err)
-	if e, ok := err.(exitCoder); ok {
+	if err.Error() != "" {
+		fmt.Fprintln(os.Stderr, "sequoiatack:", err)
+	}
+	if e, ok := errors.Into[exitCoder](err); ok {
 		return e.ExitCode()
 	}
 	return 1
@@ -48,5 +57,6 @@
 	for _, f := range subcommands {
 		root.AddCommand(f())
 	}
+	root.SetHelpCommand(newHelp())
 	return root
 }
--- /dev/null
+++ b/cmd/sequoiatack/status.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqadmin"
+)
+
+func newStatus() *cobra.Command {
+	o := new(operator)
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Print a daemon's state and what it knows of the fleet",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := o.client()
+			if err != nil {
+				return err
+			}
+			s, err := c.Status(cmd.Context())
+			if err != nil {
+				return failure(err)
+			}
+			return print(cmd, s, func(w io.Writer) { printStatus(w, &s) })
+		},
+	}
+	o.add(cmd)
+	return cmd
+}
+
+func printStatus(w io.Writer, s *sqadmin.Status) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	defer t.Flush()
+	fmt.Fprintf(t, "daemon\t%s\tin %s, %s, incarnation %d\n", s.Daemon, s.DataCentre, s.Region, s.Incarnation)
+	fmt.Fprintf(t, "lists\trevision %d\tconfirmed %s\n", s.Revision, ago(s.ListsAge))
+	for _, d := range s.DataCentres {
+		fmt.Fprintf(t, "data centre\t%s\trevision %d, seen %s, %d daemons\n", d.Name, d.Revision, ago(d.Age), d.Daemons)
+	}
+	for _, p := range s.Peers {
+		fmt.Fprintf(t, "peer\t%s\t%s in %s at %s\n", p.Daemon, p.State, p.DataCentre, p.Address)
+	}
+	for _, k := range s.Shards {
+		fmt.Fprintf(t, "shard\t%d\t%s, epoch %d\n", k.Shard, k.State, k.Epoch)
+	}
+	for _, g := range s.Targets {
+		state := fmt.Sprintf("%d of %d slots, %d queued", g.InFlight, g.Slots, g.Queued)
+		if g.Draining {
+			state += ", draining"
+		}
+		fmt.Fprintf(t, "target\t%s\tof %s, %s\n", g.Target, g.Service, state)
+	}
+}
+
+func ago(age *sqsettings.Span) string {
+	if age == nil {
+		return "never"
+	}
+	return time.Duration(*age).Round(time.Millisecond).String() + " ago"
+}
--- a/internal/state/sqlists/parse.go
+++ b/internal/state/sqlists/parse.go
@@ -34,6 +34,27 @@
 	return l, faults.err()
 }
 
+// Canonical returns one list in the form in which it is held, with its
+// defaults filled in. Its error is Faults that concern reading alone; Check
+// has the others.
+func Canonical(k Kind, body []byte) ([]byte, error) {
+	var faults Faults
+	var list any
+	if k == KindPlans {
+		list = parsePlans(body, &faults)
+	} else {
+		list = parseWorkspaces(body, &faults)
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	text, err := json.Marshal(list)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode list")
+	}
+	return text, nil
+}
+
 // field reads the value of one field, which lies at place.
 type field func(place string, raw json.RawMessage)
 
