--- a/internal/policy/sqshed/table.go
+++ b/internal/policy/sqshed/table.go
@@ -1,9 +1,13 @@
 // Package sqshed is an entry's knowledge of what the gates of a service, and
 // those of the services deeper in the chain, have room for. It comes with the
 // answers, and lets the entry refuse at the first hop what would fail at a
-// later one (DAGOR, SoCC 2018; TopFull, SIGCOMM 2024). A small part of what
-// would be refused goes through as probes, so that room is seen soon after it
-// is there again.
+// later one (DAGOR, SoCC 2018; TopFull, SIGCOMM 2024).
+//
+// What is known is a cut on the scale of importance: 0 admits all, 1.3 none
+// that is low, 0.7 of what is normal and all above, 4 none. Every answer moves
+// it, whatever its request's importance, so few answers are enough. It comes
+// down at a bounded speed, so that demand comes back in steps that the gates
+// can measure, and without answers it comes down too, after a probe.
 package sqshed
 
 import (
@@ -18,144 +22,224 @@
 )
 
 const (
-	// probeShare is the part of requests that always goes through.
-	probeShare = 0.02
-	// gain and gainSpan give the weight of an answer: gain, or more if the
-	// last one is longer ago.
-	gain     = 0.2
-	gainSpan = 100 * time.Millisecond
-	// silence is the time without an answer after which a share doubles in
-	// each growSpan.
-	silence  = 250 * time.Millisecond
-	growSpan = 150 * time.Millisecond
-	// fullShare is the share from which a class counts as not shed.
-	fullShare = 0.995
+	// averageSpan is the time constant of the average over answers, and
+	// minGain the least weight of one.
+	averageSpan = 150 * time.Millisecond
+	minGain     = 0.03
+	riseSpan    = 75 * time.Millisecond
+	// fallSpeed is the greatest fall of a cut in levels a second.
+	fallSpeed = 5.0
+	// silence is the time without an answer after which a request is let
+	// through as a probe, and after which the cut falls at quietSpeed.
+	silence    = 200 * time.Millisecond
+	quietSpeed = 1.0
+	// openCut is the cut below which nothing is shed.
+	openCut = 0.005
+	// forgetAfter is the time after which a workspace's claim is forgotten.
+	forgetAfter = 5 * time.Second
 )
 
-// Class names requests that share a fate: those of one workspace and
-// importance on one route of a service. Route is empty where the plan has no
-// finer one.
+// Class names requests that share a fate: those of one workspace on one route
+// of a service. Route is empty where the plan has no finer one.
 type Class struct {
-	Service    sqid.ServiceID
-	Route      string
-	Workspace  sqid.WorkspaceID
-	Importance squnit.Importance
+	Service   sqid.ServiceID
+	Route     string
+	Workspace sqid.WorkspaceID
 }
 
-// Room is the part of a class that a service has room for.
+// route is the class of all workspaces.
+func (c Class) route() Class { return Class{Service: c.Service, Route: c.Route} }
+
+// Room is what a gate of a service has room for: all calls above Level, and of
+// those at Level the part Share of the workspace's, and the part All of all.
 type Room struct {
-	Service sqid.ServiceID
-	Level   squnit.Importance
-	Share   squnit.Share
+	Service    sqid.ServiceID
+	Level      squnit.Importance
+	Share, All squnit.Share
 }
 
+// cut is the room on the scale of importance, for all workspaces together.
+func (r *Room) cut() float64 {
+	return float64(r.Level) + 1 - min(1, max(0, float64(r.All)))
+}
+
+// tighter reports whether r has less room than o.
+func (r *Room) tighter(o *Room) bool { return r.cut() > o.cut() }
+
 // Admission is the decision on one request.
 type Admission struct {
 	OK bool
 	// Probe is set for a request that went through to see if there is room.
 	Probe bool
-	// Share is the part of requests of the class that is admitted. It goes
+	// Share is the part of requests like this one that is admitted. It goes
 	// with the request to every gate.
 	Share squnit.Share
 	// Reason is set if OK is not.
 	Reason sqreason.Refusal
 }
 
-type row struct {
-	own    float64
-	deeper float64
-	at     time.Time
+// cut is what is known of a route of a service, for all workspaces together.
+type cut struct {
+	at    time.Time
+	value float64
+	// deeper is set if a deeper service has the least room.
+	deeper bool
+	probed time.Time
+}
+
+// claim is how much more is shed of a workspace than of all, at the level
+// where only a part is: 0 is nothing, 1 as much as of all.
+type claim struct {
+	at    time.Time
+	ratio float64
 }
 
 // Table is what one entry knows. The zero value knows of no shedding. Its
 // methods are safe for concurrent use and do not block.
 type Table struct {
-	mu   sync.Mutex
-	rows map[Class]row
+	mu     sync.Mutex
+	cuts   map[Class]cut
+	claims map[Class]claim
 }
 
-// Learn takes what an answer to a request of class c says: the share of the
-// gate that answered, and the rooms of the services below it that the request
+// Learn takes what an answer to a request of class c says: the room of the
+// gate that answered, and those of the services below it that the request
 // reached.
-func (t *Table) Learn(now time.Time, c Class, own squnit.Share, deeper []Room) {
-	low := 1.0
+func (t *Table) Learn(now time.Time, c Class, own Room, deeper []Room) {
+	room, below := &own, false
 	for i := range deeper {
-		low = min(low, float64(deeper[i].Share))
+		if deeper[i].tighter(room) {
+			room, below = &deeper[i], true
+		}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, ok := t.rows[c]
+	value := t.learnCut(now, c.route(), room, below)
+	if value > 0 && room.All < 1 && c.Workspace != "" {
+		t.learnClaim(now, c, float64(1-room.Share)/float64(1-room.All))
+	}
+}
+
+func (t *Table) learnCut(now time.Time, route Class, room *Room, below bool) float64 {
+	sample := room.cut()
+	k, ok := t.cuts[route]
 	if !ok {
-		if own >= fullShare && low >= fullShare {
-			return
+		if sample < openCut {
+			return 0
 		}
-		r = row{own: 1, deeper: 1, at: now}
+		k = cut{at: now.Add(-averageSpan / 4)}
+	}
+	dt := now.Sub(k.at)
+	old := k.value
+	k.value += gain(dt, sample > old) * (sample - old)
+	k.value = max(k.value, old-fallSpeed*dt.Seconds())
+	k.at, k.deeper = now, below
+	if k.value < openCut {
+		delete(t.cuts, route)
+		return 0
+	}
+	if t.cuts == nil {
+		t.cuts = make(map[Class]cut)
+		t.claims = make(map[Class]claim)
 	}
-	weight := max(gain, 1-math.Exp(-float64(now.Sub(r.at))/float64(gainSpan)))
-	r.own += weight * (float64(own) - r.own)
-	r.deeper += weight * (low - r.deeper)
-	r.at = now
-	if r.own >= fullShare && r.deeper >= fullShare {
-		delete(t.rows, c)
-		return
+	t.cuts[route] = k
+	return k.value
+}
+
+func (t *Table) learnClaim(now time.Time, c Class, ratio float64) {
+	k, ok := t.claims[c]
+	if !ok {
+		k.ratio = ratio
 	}
-	if t.rows == nil {
-		t.rows = make(map[Class]row)
+	k.ratio += gain(now.Sub(k.at), false) * (ratio - k.ratio)
+	k.at = now
+	t.claims[c] = k
+}
+
+// gain is the weight of an answer that comes dt after the one before.
+func gain(dt time.Duration, rising bool) float64 {
+	span := averageSpan
+	if rising {
+		span = riseSpan
+	}
+	return max(minGain, 1-math.Exp(-float64(dt)/float64(span)))
+}
+
+// now is the cut after the time without answers.
+func (k *cut) now(now time.Time) float64 {
+	if dt := now.Sub(k.at) - silence; dt > 0 {
+		return max(0, k.value-quietSpeed*dt.Seconds())
 	}
-	t.rows[c] = r
+	return k.value
+}
+
+// forClaim is the cut for a workspace: only within the level that is shed in
+// part does it differ from that of all.
+func (k *cut) forClaim(now time.Time, ratio float64) float64 {
+	level, part := math.Modf(k.now(now))
+	return level + min(1, part*ratio)
 }
 
-// Admit decides on a request of class c. Nested calls are not asked about:
-// they carry the share of their request.
-func (t *Table) Admit(now time.Time, rng *rand.Rand, c Class) Admission {
+// Admit decides on a request of class c and importance i. Nested calls are not
+// asked about: they carry the share of their request.
+func (t *Table) Admit(now time.Time, rng *rand.Rand, c Class, i squnit.Importance) Admission {
 	t.mu.Lock()
-	r, ok := t.rows[c]
-	t.mu.Unlock()
+	defer t.mu.Unlock()
+	k, ok := t.cuts[c.route()]
 	if !ok {
 		return Admission{OK: true, Share: 1}
 	}
-	share := r.share(now)
-	admitted := max(probeShare, share)
-	u := rng.Float64()
-	if u < admitted {
-		return Admission{OK: true, Probe: u >= share, Share: squnit.Share(admitted)}
+	ratio := 1.0
+	if own, known := t.claims[c]; known {
+		ratio = own.ratio
 	}
-	reason := sqreason.ShedImportance
-	if r.deeper < r.own {
-		reason = sqreason.ShedDeeper
-	} else if r.own > 0 {
-		reason = sqreason.ShedFairness
+	share := min(1, max(0, float64(i)+1-k.forClaim(now, ratio)))
+	if rng.Float64() < share {
+		return Admission{OK: true, Share: squnit.Share(share)}
 	}
-	return Admission{Share: squnit.Share(admitted), Reason: reason}
+	if now.Sub(k.at) > silence && now.Sub(k.probed) > silence {
+		k.probed = now
+		t.cuts[c.route()] = k
+		return Admission{OK: true, Probe: true, Share: 1}
+	}
+	return Admission{Share: squnit.Share(share), Reason: k.reason(i, ratio)}
 }
 
-// share is the part admitted; it grows again if no answer comes.
-func (r *row) share(now time.Time) float64 {
-	share := min(r.own, r.deeper)
-	if quiet := now.Sub(r.at) - silence; quiet > 0 {
-		share = max(probeShare, share) * math.Exp2(float64(quiet)/float64(growSpan))
+func (k *cut) reason(i squnit.Importance, ratio float64) sqreason.Refusal {
+	switch {
+	case k.deeper:
+		return sqreason.ShedDeeper
+	case float64(i)+1 > k.value && ratio > 1:
+		return sqreason.ShedFairness
+	default:
+		return sqreason.ShedImportance
 	}
-	return min(1, share)
 }
 
-// Tick forgets the classes whose share has grown back to 1.
+// Tick forgets the routes of which nothing is shed any more, and the claims of
+// workspaces that have not been heard of for a while.
 func (t *Table) Tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for c, r := range t.rows {
-		if r.share(now) >= 1 {
-			delete(t.rows, c)
+	for c, k := range t.cuts {
+		if k.now(now) < openCut && now.Sub(k.at) > silence {
+			delete(t.cuts, c)
+		}
+	}
+	for c, k := range t.claims {
+		if now.Sub(k.at) > forgetAfter {
+			delete(t.claims, c)
 		}
 	}
 }
 
-// Shed returns the classes that are shed, for the status page and tests.
-func (t *Table) Shed(now time.Time) map[Class]squnit.Share {
+// Cuts returns the cut of each route, for the status page and tests.
+func (t *Table) Cuts(now time.Time) map[Class]float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	shed := make(map[Class]squnit.Share, len(t.rows))
-	for c, r := range t.rows {
-		shed[c] = squnit.Share(r.share(now))
+	cuts := make(map[Class]float64, len(t.cuts))
+	for c, k := range t.cuts {
+		cuts[c] = k.now(now)
 	}
-	return shed
+	return cuts
 }
