--- a/cmd/sequoiatack/key.go
+++ b/cmd/sequoiatack/key.go
@@ -25,7 +25,7 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			key := sqid.NewKey()
 			made := newKeyAnswer{Key: key, Digest: sqid.DigestKey(key)}
-			return print(cmd, made, func(w io.Writer) {
+			return printAnswer(cmd, made, func(w io.Writer) {
 				fmt.Fprintf(w, "key     %s\ndigest  %s\n", made.Key, made.Digest)
 			})
 		},
--- a/cmd/sequoiatack/lists.go
+++ b/cmd/sequoiatack/lists.go
@@ -61,7 +61,7 @@
 			if err != nil {
 				return failure(err)
 			}
-			return print(cmd, listAnswer{Revision: revision, List: body}, func(w io.Writer) {
+			return printAnswer(cmd, listAnswer{Revision: revision, List: body}, func(w io.Writer) {
 				var pretty bytes.Buffer
 				_ = json.Indent(&pretty, body, "", "  ")
 				fmt.Fprintln(w, pretty.String())
@@ -137,7 +137,7 @@
 			if err != nil {
 				return err
 			}
-			return print(cmd, differences, func(w io.Writer) { printDiff(w, differences) })
+			return printAnswer(cmd, differences, func(w io.Writer) { printDiff(w, differences) })
 		},
 	}
 }
@@ -183,7 +183,7 @@
 			if err != nil {
 				return failure(err)
 			}
-			return print(cmd, sqadmin.Accepted{Revision: revision}, func(w io.Writer) {
+			return printAnswer(cmd, sqadmin.Accepted{Revision: revision}, func(w io.Writer) {
 				fmt.Fprintln(w, "accepted as revision", revision)
 			})
 		},
--- a/cmd/sequoiatack/output.go
+++ b/cmd/sequoiatack/output.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// print writes v as JSON, or calls text, as --output says.
-func print(cmd *cobra.Command, v any, text func(w io.Writer)) error {
+// printAnswer writes v as JSON, or calls text, as --output says.
+func printAnswer(cmd *cobra.Command, v any, text func(w io.Writer)) error {
 	asJSON, err := wantsJSON(cmd)
 	if err != nil {
 		return err
--- a/cmd/sequoiatack/settings.go
+++ b/cmd/sequoiatack/settings.go
@@ -62,7 +62,7 @@
 	for i, f := range faults {
 		list[i] = settingsFault(f)
 	}
-	if err := print(cmd, list, func(w io.Writer) { fmt.Fprintln(w, faults) }); err != nil {
+	if err := printAnswer(cmd, list, func(w io.Writer) { fmt.Fprintln(w, faults) }); err != nil {
 		return err
 	}
 	return &exitError{code: exitFaults}
--- a/cmd/sequoiatack/status.go
+++ b/cmd/sequoiatack/status.go
@@ -27,7 +27,7 @@
 			if err != nil {
 				return failure(err)
 			}
-			return print(cmd, s, func(w io.Writer) { printStatus(w, &s) })
+			return printAnswer(cmd, s, func(w io.Writer) { printStatus(w, &s) })
 		},
 	}
 	o.add(cmd)
--- a/internal/edge/sqadmin/lists.go
+++ b/internal/edge/sqadmin/lists.go
@@ -101,13 +101,7 @@
 		return
 	}
 	a := s.Holder.Accepted()
-	if sent.Workspaces == nil {
-		sent.Workspaces = a.Workspaces
-	}
-	if sent.Plans == nil {
-		sent.Plans = a.Plans
-	}
-	_, err := sqlists.Parse(sent.Workspaces, sent.Plans)
+	_, err := sqlists.Parse(orInForce(sent.Workspaces, a.Workspaces), orInForce(sent.Plans, a.Plans))
 	if faults, bad := errors.Into[sqlists.Faults](err); bad {
 		s.faultProblem(faults).Write(w)
 		return
@@ -115,6 +109,13 @@
 	writeJSON(w, Accepted{Revision: a.Head.Revision})
 }
 
+func orInForce(sent json.RawMessage, inForce []byte) []byte {
+	if sent == nil || string(sent) == "null" {
+		return inForce
+	}
+	return sent
+}
+
 func decodeStrict(body []byte, v any) error {
 	d := json.NewDecoder(strings.NewReader(string(body)))
 	d.DisallowUnknownFields()
--- a/internal/edge/sqadmin/status.go
+++ b/internal/edge/sqadmin/status.go
@@ -73,11 +73,11 @@
 	Draining bool           `json:"draining"`
 }
 
-// Check is the body of a check of lists; a list that is left out is that in
-// force.
+// Check is the body of a check of lists; a list that is left out or null is
+// that in force.
 type Check struct {
-	Workspaces json.RawMessage `json:"workspaces"`
-	Plans      json.RawMessage `json:"plans"`
+	Workspaces json.RawMessage `json:"workspaces,omitempty"`
+	Plans      json.RawMessage `json:"plans,omitempty"`
 }
 
 // Accepted is the answer to a change, with its revision, and to a check, with
--- a/internal/edge/sqoperator/diff.go
+++ b/internal/edge/sqoperator/diff.go
@@ -74,4 +74,3 @@
 	}
 	return byName, names, nil
 }
-
--- a/internal/policy/sqadmit/gate.go
+++ b/internal/policy/sqadmit/gate.go
@@ -40,7 +40,7 @@
 	trimSpan = time.Second
 	// shedWeight is what a shed call counts for in idle ones.
 	shedWeight = 2
-	minTrim = -0.05
+	minTrim    = -0.05
 	maxTrim    = 0.15
 	// maxCorrection is the greatest part of the capacity that is taken to
 	// shorten the queue. What is on its way is more than the queue shows, and
