--- a/cmd/sequoiatack/script_test.go
+++ b/cmd/sequoiatack/script_test.go
@@ -50,8 +50,12 @@
 			return sqadmin.Status{
 				Daemon: "d1", DataCentre: "puebla-1", Region: "puebla", Incarnation: 3,
 				Revision: holder.Revision(), ListsAge: &age,
-				Peers:   []sqadmin.Peer{{Daemon: "d2", DataCentre: "puebla-2", Address: "127.0.0.1:1", State: "suspect"}},
-				Shards:  []sqadmin.Shard{{Shard: 4, Epoch: 9, State: "keeping"}},
+				Peers: []sqadmin.Peer{{Daemon: "d2", DataCentre: "puebla-2", Address: "127.0.0.1:1", State: "suspect"}},
+				Shards: []sqadmin.Shard{
+					{Shard: 4, Epoch: 9, State: "keeping"},
+					{Shard: 5, Epoch: 9, State: "keeping"},
+					{Shard: 7, Epoch: 9, State: "keeping"},
+				},
 				Targets: []sqadmin.Target{{Target: "t1", Service: "orders", Slots: 75, InFlight: 2, Draining: true}},
 			}
 		},
--- a/cmd/sequoiatack/status.go
+++ b/cmd/sequoiatack/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqadmin"
 )
@@ -45,9 +46,7 @@
 	for _, p := range s.Peers {
 		fmt.Fprintf(t, "peer\t%s\t%s in %s at %s\n", p.Daemon, p.State, p.DataCentre, p.Address)
 	}
-	for _, k := range s.Shards {
-		fmt.Fprintf(t, "shard\t%d\t%s, epoch %d\n", k.Shard, k.State, k.Epoch)
-	}
+	printShards(t, s.Shards)
 	for _, g := range s.Targets {
 		state := fmt.Sprintf("%d of %d slots, %d queued", g.InFlight, g.Slots, g.Queued)
 		if g.Draining {
@@ -57,6 +56,22 @@
 	}
 }
 
+// printShards prints a line for each run of shards that are in one state.
+func printShards(w io.Writer, shards []sqadmin.Shard) {
+	for len(shards) > 0 {
+		first, n := shards[0], 1
+		for n < len(shards) && shards[n] == (sqadmin.Shard{Shard: first.Shard + sqid.ShardID(n), Epoch: first.Epoch, State: first.State}) {
+			n++
+		}
+		name := fmt.Sprint(first.Shard)
+		if n > 1 {
+			name += fmt.Sprintf("-%d", shards[n-1].Shard)
+		}
+		fmt.Fprintf(w, "shards\t%s\t%s, epoch %d\n", name, first.State, first.Epoch)
+		shards = shards[n:]
+	}
+}
+
 func ago(age *sqsettings.Span) string {
 	if age == nil {
 		return "never"
--- a/internal/state/sqlists/accept.go
+++ b/internal/state/sqlists/accept.go
@@ -63,7 +63,7 @@
 func (a *Acceptor) Put(ctx context.Context, k Kind, ifMatch sqid.Revision, body []byte) (sqid.Revision, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cmp.Or(a.Timeout, DefaultAcceptTimeout))
 	defer cancel()
-	base, version, err := a.newest(ctx)
+	base, at, err := a.newest(ctx)
 	if err != nil {
 		return 0, notAccepted(err)
 	}
@@ -74,7 +74,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := a.write(ctx, next, version); err != nil {
+	if err := a.write(ctx, next, at); err != nil {
 		return 0, err
 	}
 	return next.Head.Revision, nil
@@ -94,22 +94,23 @@
 		return nil
 	}
 	a.Logger.Info("repairing the platform's lists", "platform", at.head.Revision, "inForce", held.Head.Revision)
-	return a.write(ctx, held, at.version)
+	return a.write(ctx, held, at)
 }
 
-// newest returns the newest accepted lists and the version of the platform's
-// head. If the platform came back older, they are those in force.
-func (a *Acceptor) newest(ctx context.Context) (*Accepted, sqplatform.Version, error) {
+// newest returns the newest accepted lists and the platform's head. If the
+// platform came back older, the lists are those in force.
+func (a *Acceptor) newest(ctx context.Context) (*Accepted, headRecord, error) {
 	held := a.Holder.Accepted()
-	at, version, err := records{a.Store}.newest(ctx, held)
+	newest, version, err := records{a.Store}.newest(ctx, held)
 	if err != nil {
-		return nil, 0, err
+		return nil, headRecord{}, err
 	}
-	if at.Head.Revision < held.Head.Revision {
-		a.Holder.ignore(IgnoredOlder, at.Head.Revision, nil)
-		return held, version, nil
+	at := headRecord{head: newest.Head, version: version}
+	if newest.Head.Revision < held.Head.Revision {
+		a.Holder.ignore(IgnoredOlder, newest.Head.Revision, nil)
+		return held, at, nil
 	}
-	return at, version, nil
+	return newest, at, nil
 }
 
 // change returns base with the list k replaced, checked whole.
@@ -138,15 +139,19 @@
 	return next, faults.err()
 }
 
-// write writes the bodies, swaps the head and puts the lists in force.
-func (a *Acceptor) write(ctx context.Context, next *Accepted, version sqplatform.Version) error {
+// write writes the bodies that the head from does not name, swaps the head and
+// puts the lists in force. While from stands, nobody sweeps what it names.
+func (a *Acceptor) write(ctx context.Context, next *Accepted, from headRecord) error {
 	r := records{a.Store}
 	for _, body := range [][]byte{next.Workspaces, next.Plans} {
+		if d := digestOf(body); from.version > 0 && (d == from.head.Workspaces || d == from.head.Plans) {
+			continue
+		}
 		if err := r.writeBody(ctx, body); err != nil {
 			return notAccepted(err)
 		}
 	}
-	at, err := a.swapHead(ctx, next.Head, version)
+	at, err := a.swapHead(ctx, next.Head, from.version)
 	if err != nil {
 		return err
 	}
--- a/internal/state/sqlists/records.go
+++ b/internal/state/sqlists/records.go
@@ -97,19 +97,21 @@
 // read may not.
 func (r records) writeBody(ctx context.Context, body []byte) error {
 	key := digestOf(body).key()
+	var version sqplatform.Version
 	var err error
 	for range bodyTries {
-		var record sqplatform.Record
-		if record, err = r.store.Get(ctx, key); err != nil {
-			return errors.Wrap(err, "read body")
-		}
-		_, err = r.store.Swap(ctx, key, record.Version, body, 0)
+		_, err = r.store.Swap(ctx, key, version, body, 0)
 		if err == nil {
 			return nil
 		}
 		if !errors.Is(err, sqplatform.ErrConflict) && !errors.Is(err, sqplatform.ErrUncertain) {
 			break
 		}
+		record, err := r.store.Get(ctx, key)
+		if err != nil {
+			return errors.Wrap(err, "read body")
+		}
+		version = record.Version
 	}
 	return errors.Wrap(err, "write body")
 }
