Tell a drain to the whole data centre at once and check pushes between them

Cause, from TestSpread: a daemon that missed all random sends of a rumour waited for the digests, so a drain took up to 1.97 s at 5% loss (12 x 25 daemons), and relays' pings alone cost up to 1,150 B/s with ids of usual length. Drains, withdrawals and leaving now go to each daemon of the data centre directly and as a rumour; rumours go round the daemons in a shuffled order; after a push the relay pings the other side within 1 s and again until it answers, so that the pings at rest could become half as frequent; digests count as settled after 700 ms; pings name their receiver by a hash.

Figures, fake time, go test ./internal/state/sqmember -v -figures 12x25 -run 'TestSpread|TestFigures': rest plain 305 B/s, relay 639 B/s; drain at 5% loss p99 60 ms max 130 ms within the data centre (before p99 1.81 s max 1.97 s).

--- a/internal/state/sqmember/figures_test.go
+++ b/internal/state/sqmember/figures_test.go
@@ -18,7 +18,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqmemberwire"
 )
 
-var figures = flag.Bool("figures", false, "measure at all sizes and print the figures")
+var figures = flag.String("figures", "", "measure at a size such as 12x25 data centres and daemons in each")
 
 // centres returns n data centres of some size.
 func centres(n, size int) map[string]int {
@@ -33,6 +33,7 @@
 // announced a target.
 func joined(c *qt.C, seed uint64, sizes map[string]int) *network {
 	n := newNetwork(seed)
+	n.suffix = "-orders.host"
 	n.fleet(sizes)
 	_, ok := n.runBy(time.Second, 2*time.Minute, n.agree)
 	c.Assert(ok, qt.IsTrue)
@@ -74,57 +75,65 @@
 	return t
 }
 
-// TestFigures prints the bytes of control and the times of spreading that
-// docs/CAPACITY.md works with, in fake time and without loss unless it says
-// so: go test ./internal/state/sqmember -run TestFigures -v -figures.
+// measured returns the size that -figures asks for.
+func measured(c *qt.C) (size [2]int) {
+	_, err := fmt.Sscanf(*figures, "%dx%d", &size[0], &size[1])
+	c.Assert(err, qt.IsNil)
+	return size
+}
+
+// TestFigures prints the bytes of control that docs/CAPACITY.md works with,
+// in fake time and without loss: go test ./internal/state/sqmember -run
+// TestFigures -v -figures 1x300, and so for other sizes.
 func TestFigures(t *testing.T) {
-	if !*figures {
+	if *figures == "" {
 		t.Skip("measures only with -figures")
 	}
 	c := qt.New(t)
-	for _, size := range [][2]int{{1, 8}, {1, 50}, {1, 150}, {1, 300}, {2, 25}, {4, 25}, {12, 8}, {12, 25}} {
-		n := joined(c, 1, centres(size[0], size[1]))
-		const seconds = 30
-		rest := n.measure(seconds*time.Second, func() {})
-		t.Logf("rest %2d x %3d: plain %4.0f B/s, relay %4.0f B/s, most %4.0f B/s",
-			size[0], size[1], rest.plain/seconds, rest.relay/seconds, rest.most/seconds)
-		n.logChange(t, "fact of 100 B from one daemon", rest, func() { publish(n.nodes[0], 1) })
-		n.logChange(t, "the same from all watchers", rest, func() {
-			for _, v := range n.nodes {
-				if v.Watcher() {
-					publish(v, 2)
-				}
+	size := measured(c)
+	n := joined(c, 1, centres(size[0], size[1]))
+	rest := n.measure(span, func() {})
+	t.Logf("rest %s: plain %4.0f B/s, relay %4.0f B/s, most %4.0f B/s", *figures,
+		rest.plain/span.Seconds(), rest.relay/span.Seconds(), rest.most/span.Seconds())
+	n.logChange(t, "fact of 100 B from one daemon", rest, func() { publish(n.nodes[0], 1) })
+	n.logChange(t, "the same from all watchers", rest, func() {
+		for _, v := range n.nodes {
+			if v.Watcher() {
+				publish(v, 2)
 			}
-		})
-		n.logChange(t, "drain of one target", rest, func() { n.nodes[1].Drain("target-1") })
-		n.logChange(t, "restart of one daemon", rest, func() {
-			v := n.nodes[2]
-			v.dead = true
-			n.add(v.name, string(v.Local.DataCentre), n.nodes[0])
-		})
-	}
+		}
+	})
+	n.logChange(t, "drain of one target", rest, func() { n.nodes[1].Drain("target-1") })
+	n.logChange(t, "restart of one daemon", rest, func() {
+		v := n.nodes[2]
+		v.dead = true
+		n.add(v.name, string(v.Local.DataCentre), n.nodes[0])
+	})
 }
 
+// span is the time for which bytes are measured, a whole number of the relays'
+// periods.
+const span = 20 * time.Second
+
 func publish(v *node, version uint64) {
 	_, _ = v.Publish("lists", version, make([]byte, 100))
 }
 
 // logChange logs the bytes of a change beyond those at rest.
 func (n *network) logChange(t *testing.T, what string, rest traffic, f func()) {
-	got := n.measure(30*time.Second, f)
+	got := n.measure(span, f)
 	t.Logf("  %s: plain %5.0f B, relay %5.0f B", what, got.plain-rest.plain, got.relay-rest.relay)
 }
 
 // TestSpread shows the times in which facts and drains reach all daemons, and
 // in which a killed daemon is out of use everywhere.
 func TestSpread(t *testing.T) {
+	c := qt.New(t)
 	sizes := [][2]int{{1, 40}, {4, 12}}
-	rounds := 5
-	if *figures {
-		sizes = [][2]int{{1, 300}, {12, 25}}
-		rounds = 20
+	if *figures != "" {
+		sizes = [][2]int{measured(c)}
 	}
-	c := qt.New(t)
+	const rounds = 5
 	for _, size := range sizes {
 		n := joined(c, 2, centres(size[0], size[1]))
 		for _, loss := range []float64{0, 0.05} {
@@ -206,7 +215,7 @@
 	for range rounds {
 		v := n.nodes[n.rand.IntN(len(n.nodes))]
 		v.dead = true
-		took, _ := n.run(time.Minute, func() bool { return n.unused(v.Local.ID) })
+		took, _ := n.runBy(100*time.Millisecond, time.Minute, func() bool { return n.unused(v.Local.ID) })
 		times = append(times, took)
 		n.add(v.name, string(v.Local.DataCentre), n.running()[0])
 		n.run(10*time.Second, nil)
@@ -257,7 +266,7 @@
 			answerPings(m, now, m.Tick(now))
 		}
 		ping := m.datagram(sqmemberwire.Kind_KIND_PING)
-		ping.From, ping.Target, ping.Seq = string(other.ID), string(m.self.ID), 1
+		ping.From, ping.TargetHash, ping.Seq = string(other.ID), shortHash(m.self.ID), 1
 		if i%10 == 0 {
 			other.Version++
 			ping.Rows = append(ping.Rows, other.wire())
@@ -274,7 +283,7 @@
 			continue
 		}
 		ack := m.withDigests(m.datagram(sqmemberwire.Kind_KIND_ACK))
-		ack.From, ack.Seq = s.Datagram.GetTarget(), s.Datagram.GetSeq()
+		ack.From, ack.Seq = "peer", s.Datagram.GetSeq()
 		m.Receive(now, s.Address, ack)
 	}
 }
--- a/internal/state/sqmember/local.go
+++ b/internal/state/sqmember/local.go
@@ -43,6 +43,9 @@
 			return
 		}
 		m.renew(func(r *Row) { r.Targets = targets })
+		if t.Draining {
+			m.tellAll()
+		}
 	})
 	return err
 }
@@ -54,6 +57,7 @@
 		if slices.ContainsFunc(m.self.Targets, gone) {
 			left := slices.DeleteFunc(slices.Clone(m.self.Targets), gone)
 			m.renew(func(r *Row) { r.Targets = left })
+			m.tellAll()
 		}
 	})
 }
@@ -68,6 +72,7 @@
 		targets := slices.Clone(m.self.Targets)
 		targets[i].Draining = true
 		m.renew(func(r *Row) { r.Targets = targets })
+		m.tellAll()
 	})
 }
 
@@ -80,9 +85,24 @@
 		}
 		m.leaving = true
 		m.renew(func(r *Row) { r.State, r.Targets = Left, nil })
+		m.tellAll()
 	})
 }
 
+// tellAll sends this daemon's row to all of its data centre, for changes after
+// which nobody may send it calls. Rumours reach those whom this misses.
+func (m *Member) tellAll() {
+	for _, id := range m.view.ranked(m.self.DataCentre) {
+		r, ok := m.rows.Get(id)
+		if !ok || id == m.self.ID {
+			continue
+		}
+		d := m.datagram(sqmemberwire.Kind_KIND_GOSSIP)
+		d.Rows = append(d.Rows, m.self.wire())
+		m.out = append(m.out, Send{Address: r.PeerAddress, Datagram: d})
+	}
+}
+
 // Join asks the daemons at some addresses for what they hold. It returns the
 // messages to be sent.
 func (m *Member) Join(now time.Time, addresses []string) []Send {
--- a/internal/state/sqmember/member.go
+++ b/internal/state/sqmember/member.go
@@ -108,7 +108,8 @@
 	// defaults 1.5 s and 4.5 s.
 	SuspectLeast time.Duration
 	SuspectMost  time.Duration
-	// Relay is the time between two probes of another data centre; default 5 s.
+	// Relay is the time between two probes of another data centre; default 10 s.
+	// After news it is shorter.
 	Relay time.Duration
 	// Forget is the time after which a dead or left row is dropped; default 1 h.
 	Forget time.Duration
@@ -124,7 +125,7 @@
 	set(&p.Ack, 300*time.Millisecond)
 	set(&p.SuspectLeast, 1500*time.Millisecond)
 	set(&p.SuspectMost, 4500*time.Millisecond)
-	set(&p.Relay, 5*time.Second)
+	set(&p.Relay, 10*time.Second)
 	set(&p.Forget, time.Hour)
 	return p
 }
--- a/internal/state/sqmember/network_test.go
+++ b/internal/state/sqmember/network_test.go
@@ -24,6 +24,8 @@
 	// skew is added to the clock that a started daemon takes its
 	// incarnation from.
 	skew time.Duration
+	// suffix lengthens the daemons' ids.
+	suffix string
 	// off is what the daemons started from now on do without.
 	off switches
 
@@ -79,7 +81,7 @@
 // add starts a daemon, in place of one with its name if there was one. It
 // joins through join.
 func (n *network) add(name, dc string, join ...*node) *node {
-	return n.addAt("addr-"+name, name, dc, join...)
+	return n.addAt("10.100.addr-"+name, name, dc, join...)
 }
 
 func (n *network) addAt(addr, name, dc string, join ...*node) *node {
@@ -87,7 +89,7 @@
 	v.Member = &Member{
 		Fleet: "test", Rand: rand.New(rand.NewPCG(n.rand.Uint64(), 2)),
 		Local: Row{
-			ID: sqid.DaemonID(name), DataCentre: sqid.DataCentreID(dc), Region: "r", PeerAddress: addr,
+			ID: sqid.DaemonID(name + n.suffix), DataCentre: sqid.DataCentreID(dc), Region: "r", PeerAddress: addr,
 			CallerAddress: "10.0.0.1:8000", Incarnation: sqid.Incarnation(n.now.Add(n.skew).UnixMilli()),
 		},
 	}
@@ -129,7 +131,7 @@
 }
 
 func (n *network) node(name string) *node {
-	return n.at["addr-"+name]
+	return n.at["10.100.addr-"+name]
 }
 
 func (n *network) later(d time.Duration, f func()) {
--- a/internal/state/sqmember/order_test.go
+++ b/internal/state/sqmember/order_test.go
@@ -147,12 +147,13 @@
 			n := newNetwork(seed)
 			n.off = off
 			n.fleet(map[string]int{"a": 16})
+			other := n.node("a16").Local.PeerAddress
 			n.run(30*time.Second, n.agree)
 			left := func(v *node) bool { return len(v.name) == 2 }
 			n.cuts = append(n.cuts, func(a, b *node) bool { return left(a) && !left(b) })
 			n.run(time.Minute, nil)
 			n.cuts = nil
-			n.send(n.nodes[0], n.nodes[0].Join(n.now, []string{"addr-a16"}))
+			n.send(n.nodes[0], n.nodes[0].Join(n.now, []string{other}))
 			n.run(time.Minute, func() bool {
 				for _, v := range n.nodes {
 					for _, o := range n.nodes {
--- a/internal/state/sqmember/probe.go
+++ b/internal/state/sqmember/probe.go
@@ -120,8 +120,7 @@
 func (m *Member) nextTarget() (sqid.DaemonID, bool) {
 	p := &m.probes
 	if len(p.order) == 0 {
-		p.order = slices.Clone(m.view.ranked(m.self.DataCentre))
-		m.Rand.Shuffle(len(p.order), func(i, j int) { p.order[i], p.order[j] = p.order[j], p.order[i] })
+		p.order = m.shuffled()
 	}
 	for len(p.order) > 0 {
 		id := p.order[0]
@@ -149,7 +148,7 @@
 // ping sends a ping that carries what is held against its receiver.
 func (m *Member) ping(r Row, seq uint32) {
 	d := m.withDigests(m.datagram(sqmemberwire.Kind_KIND_PING))
-	d.Seq, d.Target = seq, string(r.ID)
+	d.Seq, d.TargetHash = seq, shortHash(r.ID)
 	m.tell(d, r.ID, r.Incarnation)
 	m.send(r.PeerAddress, d)
 }
@@ -187,7 +186,7 @@
 }
 
 func (m *Member) receivePing(address string, d *sqmemberwire.Datagram) {
-	if d.GetTarget() != string(m.self.ID) {
+	if d.GetTargetHash() != shortHash(m.self.ID) {
 		return
 	}
 	ack := m.withDigests(m.datagram(sqmemberwire.Kind_KIND_ACK))
--- a/internal/state/sqmember/relay.go
+++ b/internal/state/sqmember/relay.go
@@ -15,6 +15,11 @@
 	// farAck is the time to wait for an answer from another data centre, and
 	// again for one through a third.
 	farAck = time.Second
+	// checkDelay is the time from a push to the ping whose answer shows
+	// whether it arrived, long enough for digests to have settled.
+	checkDelay = time.Second
+	// checksMost bounds the pings in a row that find no answer after a push.
+	checksMost = 5
 	// silentSingle and silentMost are the times without any answer after
 	// which the daemons of another data centre become suspect: of a lone
 	// daemon, that no other there can probe, and of several.
@@ -39,6 +44,9 @@
 	waitBy time.Time
 	asked  bool
 	missed int
+	// check is set while no ping has been sent since the last push, checking
+	// while one is under way.
+	check, checking bool
 	// silent is when the first ping was sent that found no answer.
 	silent time.Time
 }
@@ -76,7 +84,10 @@
 func (m *Member) relaysOf(dc sqid.DataCentreID) []Row {
 	var relays []Row
 	for _, id := range m.view.ranked(dc) {
-		if r, ok := m.rows.Get(id); ok && r.State == Alive && len(relays) < relaysEach {
+		if len(relays) == relaysEach {
+			break
+		}
+		if r, ok := m.rows.Get(id); ok && r.State == Alive {
 			relays = append(relays, r)
 		}
 	}
@@ -110,6 +121,9 @@
 		}
 		if f.seq == 0 && !m.now.Before(f.next) {
 			f.next = m.now.Add(m.Periods.Relay)
+			if f.missed > 0 {
+				f.next = m.now.Add(m.Periods.Relay / 2)
+			}
 			m.probeFar(dc, f)
 		}
 	}
@@ -123,9 +137,10 @@
 		return
 	}
 	f.seq, f.target, f.asked = m.probes.nextSeq(), r.ID, false
+	f.checking, f.check = f.check, false
 	f.waitBy = m.now.Add(farAck)
 	d := m.withDigests(m.datagram(sqmemberwire.Kind_KIND_PING))
-	d.Seq, d.Target = f.seq, string(r.ID)
+	d.Seq, d.TargetHash = f.seq, shortHash(r.ID)
 	m.tell(d, r.ID, r.Incarnation)
 	m.out = append(m.out, Send{Address: r.PeerAddress, Datagram: d})
 }
@@ -156,6 +171,9 @@
 	}
 	f.seq = 0
 	f.missed++
+	if f.checking && f.missed <= checksMost {
+		f.check, f.next = true, m.now
+	}
 	if f.silent.IsZero() {
 		f.silent = m.now
 	}
@@ -203,6 +221,11 @@
 		if dc == m.self.DataCentre {
 			continue
 		}
+		f := m.relays.at(dc)
+		f.check = true
+		if soon := m.now.Add(checkDelay); soon.Before(f.next) {
+			f.next = soon
+		}
 		if relays := m.relaysOf(dc); len(relays) > 0 {
 			m.pushTo(relays[m.relays.rank%len(relays)].PeerAddress, news)
 		}
--- a/internal/state/sqmember/repair.go
+++ b/internal/state/sqmember/repair.go
@@ -9,10 +9,9 @@
 )
 
 const (
-	// rowsSettle and factsSettle are the times for which digests must have
-	// stood, so that a difference is not merely news under way.
-	rowsSettle  = 2 * time.Second
-	factsSettle = time.Second
+	// settle is the time for which digests must have stood, so that a
+	// difference is not merely news under way.
+	settle = 700 * time.Millisecond
 	// differMost is how long a difference may last while news never settles.
 	differMost = 8 * time.Second
 	// exchangePeriod is the least time between two exchanges.
@@ -48,8 +47,8 @@
 // compare starts an exchange with the sender of an answer whose digests
 // differ for longer than news takes to spread.
 func (m *Member) compare(address string, d *sqmemberwire.Datagram) {
-	rows := m.differs(&m.repair.rows, d.GetRowsDigest() == m.view.digest, m.view.changed, d.GetRowsSettled(), rowsSettle)
-	facts := m.differs(&m.repair.facts, d.GetFactsDigest() == m.facts.digest, m.facts.changed, d.GetFactsSettled(), factsSettle)
+	rows := m.differs(&m.repair.rows, d.GetRowsDigest() == m.view.digest, m.view.changed, d.GetRowsSettled())
+	facts := m.differs(&m.repair.facts, d.GetFactsDigest() == m.facts.digest, m.facts.changed, d.GetFactsSettled())
 	if (!rows && !facts) || m.now.Before(m.repair.next) || m.off.repair {
 		return
 	}
@@ -57,7 +56,7 @@
 	m.out = append(m.out, Send{Address: address, Exchange: m.exchangeRequest(rows, facts)})
 }
 
-func (m *Member) differs(last *time.Time, same bool, changed time.Time, theirs uint32, settle time.Duration) bool {
+func (m *Member) differs(last *time.Time, same bool, changed time.Time, theirs uint32) bool {
 	if same || last.IsZero() {
 		*last = m.now
 	}
--- a/internal/state/sqmember/row.go
+++ b/internal/state/sqmember/row.go
@@ -107,6 +107,11 @@
 	return xxhash.Sum64String(string(id))
 }
 
+// shortHash tells the daemons of one address apart.
+func shortHash(id sqid.DaemonID) uint32 {
+	return uint32(rank(id))
+}
+
 func (r Row) wire() *sqmemberwire.Row {
 	w := &sqmemberwire.Row{
 		Daemon: string(r.ID), Incarnation: uint64(r.Incarnation), Version: uint64(r.Version),
--- a/internal/state/sqmember/rumour.go
+++ b/internal/state/sqmember/rumour.go
@@ -22,7 +22,7 @@
 	rumoursMost = 512
 	// leastSends is how often a rumour is sent beyond the logarithm of the
 	// number of daemons.
-	leastSends = 3
+	leastSends = 2
 )
 
 // rumour is a row or a fact that is passed on a bounded number of times.
@@ -52,6 +52,8 @@
 // rumours are kept in the order of how often they were sent.
 type rumours struct {
 	list []rumour
+	// order is what is left of the present round of daemons to gossip to.
+	order []sqid.DaemonID
 }
 
 // put adds a rumour in place of an older one with the same key.
@@ -89,18 +91,48 @@
 	if len(m.rumours.list) == 0 {
 		return
 	}
-	peers := sample(m.Rand, m.view.ranked(m.self.DataCentre), gossipPeers, m.isSelf)
+	peers := m.gossipRound()
 	if len(peers) == 0 {
 		m.rumours.list = nil
 		return
 	}
-	for _, id := range peers {
-		if r, ok := m.rows.Get(id); ok && len(m.rumours.list) > 0 {
+	for _, r := range peers {
+		if len(m.rumours.list) > 0 {
 			m.send(r.PeerAddress, m.datagram(sqmemberwire.Kind_KIND_GOSSIP))
 		}
 	}
 }
 
+// gossipRound returns the daemons to gossip to now. It goes through all in a
+// random order, so that a rumour is not sent to one twice before the others.
+func (m *Member) gossipRound() []Row {
+	var round []Row
+	for refilled := false; len(round) < gossipPeers; {
+		if len(m.rumours.order) == 0 {
+			if refilled {
+				break
+			}
+			refilled = true
+			m.rumours.order = m.shuffled()
+			continue
+		}
+		id := m.rumours.order[0]
+		m.rumours.order = m.rumours.order[1:]
+		known := slices.ContainsFunc(round, func(r Row) bool { return r.ID == id })
+		if r, ok := m.rows.Get(id); ok && r.live() && id != m.self.ID && !known {
+			round = append(round, r)
+		}
+	}
+	return round
+}
+
+// shuffled returns the live daemons of the data centre in a random order.
+func (m *Member) shuffled() []sqid.DaemonID {
+	ids := slices.Clone(m.view.ranked(m.self.DataCentre))
+	m.Rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids
+}
+
 func (m *Member) isSelf(id sqid.DaemonID) bool {
 	return id == m.self.ID
 }
--- a/internal/state/sqmember/script_test.go
+++ b/internal/state/sqmember/script_test.go
@@ -82,7 +82,7 @@
 	"start": func(s *script, args []string) { s.n.add(args[0], args[1], s.node(args[2])) },
 	// twin NAME DC SEED starts a second daemon with a name, called NAME-twin.
 	"twin": func(s *script, args []string) {
-		s.n.addAt("addr-"+args[0]+"-twin", args[0], args[1], s.node(args[2]))
+		s.n.addAt("10.100.addr-"+args[0]+"-twin", args[0], args[1], s.node(args[2]))
 	},
 	"leave": func(s *script, args []string) { s.node(args[0]).Leave() },
 	"target": func(s *script, args []string) {
