--- a/cmd/sequoia-standin/demo.go
+++ b/cmd/sequoia-standin/demo.go
@@ -42,6 +42,7 @@
 		},
 	}
 	c.Flags().StringVar(&d.Program, "program", "", "the daemon's program; empty builds it")
+	c.Flags().BoolVar(&d.Keep, "keep", false, "leave settings and logs behind")
 	c.Flags().Uint64Var(&d.Seed, "seed", 1, "seed of load and targets")
 	c.Flags().StringVar(&output, "output", "text", "text or json")
 	return c
--- a/internal/standin/sqfleet/admin.go
+++ b/internal/standin/sqfleet/admin.go
@@ -62,8 +62,8 @@
 	return nil
 }
 
-func (f *Fleet) ready(ctx context.Context, d *Daemon) bool {
-	a, err := send(ctx, http.MethodGet, "http://"+d.AdminAddress+"/readyz", nil, nil)
+func (f *Fleet) answersOK(ctx context.Context, d *Daemon, path string) bool {
+	a, err := send(ctx, http.MethodGet, "http://"+d.AdminAddress+path, nil, nil)
 	return err == nil && a.status == http.StatusOK
 }
 
