--- a/internal/policy/sqadmit/call.go
+++ b/internal/policy/sqadmit/call.go
@@ -72,6 +72,8 @@
 	Failed
 	// Cancelled is a call that its caller gave up.
 	Cancelled
+	// Unreachable is a call of which no byte has reached the other side.
+	Unreachable
 )
 
 // Result is what the gate measured of a call that held a slot.
--- a/internal/policy/sqadmit/gate.go
+++ b/internal/policy/sqadmit/gate.go
@@ -40,12 +40,12 @@
 	trimSpan = time.Second
 	// shedWeight is what a shed call counts for in idle ones.
 	shedWeight = 2
-	minTrim = -0.05
+	minTrim    = -0.05
 	maxTrim    = 0.15
 	// maxCorrection is the greatest part of the capacity that is taken to
 	// shorten the queue. What is on its way is more than the queue shows, and
 	// the queue drops it better than a cut that ends too late.
-	maxCorrection = 0.15
+	maxCorrection = 0.3
 	// referencePart is the reference length of the queue as part of its bound.
 	referencePart = 0.2
 	// minQueue and maxQueue bound the queue, in calls.
@@ -59,8 +59,8 @@
 	// which the usual time counts as outdated; minAged is the least of them.
 	ageFactor = 1.5
 	minAged   = 4
-	// minWait is the time that any call may wait for a slot; beyond it, it may
-	// wait for the usual time.
+	// minWait is the time that a new call may wait for a slot; beyond it, it
+	// may wait for the usual time.
 	minWait = 50 * time.Millisecond
 	// usualGain is the weight of one call in the usual time.
 	usualGain = 0.025
@@ -243,7 +243,7 @@
 // early says nothing, unless it had held its slot for longer than usual.
 func (g *Gate) measure(r Result) {
 	sample := r.Latency.Seconds()
-	if r.Outcome == OK || r.Outcome != Shed && sample > g.usual {
+	if r.Outcome == OK || r.Outcome != Shed && r.Outcome != Unreachable && sample > g.usual {
 		g.usual = average(g.usual, sample)
 	}
 }
@@ -268,20 +268,15 @@
 }
 
 // dropLate drops the calls that can't end before their deadline if they take
-// the usual time, and those that have waited too long: a waiting call holds
-// slots of the services above.
+// the usual time, and new ones that have waited too long.
 func (g *Gate) dropLate(now time.Time, e *Effect) {
-	need, wait := g.need(), max(minWait, seconds(g.usual))
+	need, patience := g.need(), max(minWait, seconds(g.usual))
 	for i := 0; i < len(g.queue.waiters); {
 		w := &g.queue.waiters[i]
-		patience := wait
-		if w.Depth > 0 {
-			patience *= underWayFactor
-		}
 		switch {
 		case !now.Add(need).Before(w.Deadline):
 			e.Dropped = append(e.Dropped, g.drop(i, sqreason.ShedDeadline))
-		case now.Sub(w.at) > patience:
+		case w.Depth == 0 && now.Sub(w.at) > patience:
 			e.Dropped = append(e.Dropped, g.drop(i, g.queue.why(i)))
 		default:
 			i++
@@ -363,7 +358,8 @@
 func (g *Gate) adjustTrim(dt float64) {
 	lost := g.lost
 	g.lost = 0
-	if g.usual == 0 || dt <= 0 {
+	if g.usual == 0 || !g.strained {
+		g.trim = 0
 		return
 	}
 	limit := float64(g.limit.Slots())
--- a/internal/policy/sqadmit/limit.go
+++ b/internal/policy/sqadmit/limit.go
@@ -123,7 +123,7 @@
 	case Shed:
 		l.cut(now, inFlight)
 		return
-	case Failed, Cancelled:
+	case Failed, Cancelled, Unreachable:
 		return
 	}
 	own := max(0, r.Latency-r.Nested).Seconds()
--- a/internal/policy/sqchain/client_test.go
+++ b/internal/policy/sqchain/client_test.go
@@ -74,6 +74,7 @@
 	if reason != sqreason.NoReason && reason != sqreason.TargetNone && reason != sqreason.PeerUnreachable {
 		reason = sqreason.ShedDeeper
 	}
+	p.failedBelow = true
 	s.end(p, sqadmit.OK, reason)
 }
 
--- a/internal/policy/sqchain/model_test.go
+++ b/internal/policy/sqchain/model_test.go
@@ -152,6 +152,8 @@
 	below  sqshed.Below
 	// pending is set while the call holds a slot of its target.
 	pending bool
+	// failedBelow is set if a nested call has failed for good.
+	failedBelow bool
 }
 
 type state int
@@ -166,6 +168,7 @@
 // attempt sends a call to a target of its service.
 func (s *sim) attempt(c *call) {
 	c.state, c.below, c.work, c.path, c.nested = travelling, sqshed.Below{}, 0, 0, 0
+	c.failedBelow = false
 	c.tries++
 	if c.tries > 1 {
 		c.req.extra++
@@ -191,7 +194,7 @@
 	d := c.host
 	s.out.offered[c.depth]++
 	if d.down {
-		c.entry.router.Ended(s.now(), d.row.ID, hopTime, sqadmit.Failed, nil)
+		c.entry.router.Ended(s.now(), d.row.ID, hopTime, sqadmit.Unreachable, nil)
 		s.answered(c, sqreason.PeerUnreachable, squnit.RunNot)
 		return
 	}
--- a/internal/policy/sqchain/policy_test.go
+++ b/internal/policy/sqchain/policy_test.go
@@ -57,6 +57,7 @@
 		Left: c.req.deadline - s.at, Usual: c.entry.router.Usual(serviceName(c.depth)),
 		Credit: c.credit.Left(), Budget: c.entry.budgets[c.depth].Left(s.now()),
 		ServiceSheds: c.entry.router.Sheds(s.now(), serviceName(c.depth)),
+		FailedBelow:  c.failedBelow,
 		OtherTarget:  len(c.exclude) < len(s.rows[c.depth]),
 	})
 	if !v.Retry {
--- a/internal/policy/sqretry/credit.go
+++ b/internal/policy/sqretry/credit.go
@@ -53,7 +53,8 @@
 }
 
 // GrantFor returns the part of a credit that a nested call is granted while
-// others may follow: half, rounded up.
+// others may run beside it: two thirds, rounded up. What it does not use comes
+// back with its answer, and the deepest calls are where most attempts fail.
 func GrantFor(left squnit.Credit) squnit.Credit {
-	return (left + 1) / 2
+	return (2*left + 2) / 3
 }
--- a/internal/policy/sqretry/decide.go
+++ b/internal/policy/sqretry/decide.go
@@ -30,13 +30,18 @@
 	// Left is the time until the deadline, Usual the service's usual time.
 	Left, Usual time.Duration
 	// Credit and Budget are what the request and the edge have left. A retry
-	// that is decided on takes one of each.
+	// that is decided on takes one of each; the budget is not asked about
+	// after an attempt that put no load on the service.
 	Credit squnit.Credit
 	Budget bool
 	// ServiceSheds is set if the service as a whole sheds calls like this.
 	ServiceSheds bool
 	// OtherTarget is set if there is a target not yet tried.
 	OtherTarget bool
+	// FailedBelow is set if the target's answer is a failure and one of its
+	// own nested calls had failed for good: that call has been retried where
+	// that made sense, and to repeat all above it only multiplies the load.
+	FailedBelow bool
 	// BodySpent is set if the body can't be sent again.
 	BodySpent bool
 }
@@ -54,7 +59,7 @@
 // first: a non-idempotent attempt is repeated only if it is known not to have
 // run. The caller takes credit and budget if the verdict is to retry.
 func Decide(rng *rand.Rand, a Attempt) Verdict {
-	if final(a.Reason) {
+	if final(a.Reason) || a.FailedBelow {
 		return no(sqreason.NoRetryFinal)
 	}
 	shed := overload(a.Reason)
@@ -74,7 +79,7 @@
 		return no(sqreason.NoRetryDeadline)
 	case a.Credit <= 0:
 		return no(sqreason.NoRetryCredit)
-	case !a.Budget:
+	case !a.Budget && !costsNothing(a):
 		return no(sqreason.NoRetryBudget)
 	}
 	return Verdict{Retry: true, Reason: why(a), ElsewhereOnly: a.OtherTarget, Backoff: wait}
@@ -103,6 +108,13 @@
 	return false
 }
 
+// costsNothing reports whether the attempt put no load on the service, so that
+// another does not add to it.
+func costsNothing(a Attempt) bool {
+	return a.Run == squnit.RunNot && (a.Reason == sqreason.PeerUnreachable ||
+		a.Reason == sqreason.TargetUnreachable || a.Reason == sqreason.TargetDraining || a.Reason == sqreason.Stopping)
+}
+
 // why returns the reason of a retry that is made.
 func why(a Attempt) sqreason.Retry {
 	switch {
--- a/internal/policy/sqroute/router.go
+++ b/internal/policy/sqroute/router.go
@@ -101,7 +101,7 @@
 			continue
 		}
 		t := r.targets[row.ID]
-		if t.ejected(now) || !t.warm(now, rng) {
+		if t.ejected(now) || now.Before(t.avoid) || !t.warm(now, rng) {
 			spare[r.tier(row)].add(rng, row, t)
 			continue
 		}
@@ -183,7 +183,7 @@
 	}
 	t.inFlight = max(0, t.inFlight-1)
 	t.observe(now, latency, o, load)
-	if o == sqadmit.Failed {
+	if o == sqadmit.Failed || o == sqadmit.Unreachable {
 		t.service.maybeEject(now, t)
 	}
 }
--- a/internal/policy/sqroute/target.go
+++ b/internal/policy/sqroute/target.go
@@ -29,6 +29,9 @@
 	// firstEjection and maxEjection bound the time for which it is.
 	firstEjection = time.Second
 	maxEjection   = 30 * time.Second
+	// avoidFor is the time for which a target that could not be reached is
+	// taken only if there is no other. That needs no bound.
+	avoidFor = 200 * time.Millisecond
 	// maxEjectedPart is the part of a service that may be ejected at once.
 	maxEjectedPart = 1.0 / 3
 	// forgetAfter is the time after which an unseen target is forgotten.
@@ -54,6 +57,7 @@
 	// until is the end of the ejection; ejections counts those in a row.
 	until     time.Time
 	ejections int
+	avoid     time.Time
 }
 
 // service is what is known of the targets of one service.
@@ -80,6 +84,11 @@
 		t.service.usual = average(t.service.usual, latency.Seconds())
 	case sqadmit.Failed:
 		failed = 1
+	case sqadmit.Unreachable:
+		failed = 1
+		t.avoid = now.Add(avoidFor)
+	case sqadmit.Cancelled:
+		return
 	}
 	t.fails += failGain * (failed - t.fails)
 	if t.fails < failGain {
