--- a/internal/policy/sqadmit/demand.go
+++ b/internal/policy/sqadmit/demand.go
@@ -13,6 +13,8 @@
 const (
 	// minShare bounds what one call may stand for.
 	minShare = 0.01
+	// minWeight bounds what a workspace can be short of beside others.
+	minWeight = 0.001
 	// idleDemand is the rate, in calls a second, below which a class is
 	// forgotten.
 	idleDemand = 0.01
@@ -63,11 +65,19 @@
 		row = &class{key: key, at: now, share: 1}
 		d.classes[key] = row
 	}
-	row.weight = cmp.Or(math.Max(0, float64(c.Weight)), 1)
+	row.weight = weightOf(c)
 	row.decay(now, span)
 	row.rate += 1 / shareOf(c) / span.Seconds()
 }
 
+// weightOf is the weight that a call's workspace counts for, 1 if it has none.
+func weightOf(c *Call) float64 {
+	if c.Weight <= 0 {
+		return 1
+	}
+	return math.Max(minWeight, float64(c.Weight))
+}
+
 func shareOf(c *Call) float64 {
 	if c.Share <= 0 || c.Share > 1 {
 		return 1
@@ -142,7 +152,7 @@
 		wanted += c.rate
 	}
 	for _, c := range classes {
-		fair := math.Max(0, capacity) * c.weight / weights
+		fair := math.Max(0, capacity) * math.Min(1, c.weight/weights)
 		got := math.Min(c.rate, fair)
 		c.share = got / c.rate
 		given += got
--- a/internal/policy/sqadmit/gate.go
+++ b/internal/policy/sqadmit/gate.go
@@ -9,6 +9,7 @@
 package sqadmit
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -18,52 +19,23 @@
 )
 
 const (
-	// reviewPeriod is the time between two divisions of the capacity.
-	reviewPeriod = 20 * time.Millisecond
-	// demandSpan and demandFactor give the time constant of the demand's
-	// average: demandSpan, or demandFactor usual times if that is longer.
-	demandSpan   = 200 * time.Millisecond
-	demandFactor = 4
-	// correctSpan and correctFactor give the time in which the shares aim to
-	// bring the queue to its reference length. It is longer than the way of a
-	// new share to the entries and of their calls back to the gate.
-	correctSpan   = 400 * time.Millisecond
-	correctFactor = 8
 	// queueTime bounds the queue to the calls that the target ends in that
 	// time, and to those that it runs at once.
 	queueTime = 100 * time.Millisecond
 	// underWayFactor is the ratio of the queue's bounds for calls under way
 	// to those for new ones.
 	underWayFactor = 6
-	// trimSpan is the time constant in which the capacity follows the calls
-	// under way that are shed, down to minTrim, and idle slots, up to maxTrim.
-	trimSpan = time.Second
-	// shedWeight is what a shed call counts for in idle ones.
-	shedWeight = 2
-	minTrim    = -0.05
-	maxTrim    = 0.15
-	// maxCorrection is the greatest part of the capacity that is taken to
-	// shorten the queue. What is on its way is more than the queue shows, and
-	// the queue drops it better than a cut that ends too late.
-	maxCorrection = 0.3
-	// referencePart is the reference length of the queue as part of its bound.
-	referencePart = 0.2
-	// minQueue and maxQueue bound the queue, in calls.
-	minQueue = 4
-	maxQueue = 256
-	// calmFor is the time without need to shed, or with less than busyPart of
-	// the limit in flight, after which a target that was strained is so no more.
-	calmFor  = 200 * time.Millisecond
-	busyPart = 0.8
-	// ageFactor is the mean age of the running calls, in usual times, from
-	// which the usual time counts as outdated; minAged is the least of them.
-	ageFactor = 1.5
-	minAged   = 4
-	// minWait is the time that a new call may wait for a slot; beyond it, it
-	// may wait for the usual time.
+	// minWait is the time that a new call of low importance may wait for a
+	// slot; beyond it, it may wait for the usual time. One of the next level
+	// may wait twice as long, and so on.
 	minWait = 50 * time.Millisecond
-	// usualGain is the weight of one call in the usual time.
+	// usualGain is the least weight of one call in the usual time, usualSpan
+	// the time constant of that weight if few calls end.
 	usualGain = 0.025
+	usualSpan = time.Second
+	// usualHalf is the time without the end of a call after which the usual
+	// time is halved in each such time.
+	usualHalf = 250 * time.Millisecond
 )
 
 // Gate admits calls to one target. The zero value refuses nothing but has one
@@ -81,7 +53,8 @@
 	ages   float64
 	origin time.Time
 	// usual is the usual time that a call holds its slot, in seconds.
-	usual float64
+	usual    float64
+	measured time.Time
 	// lost counts calls under way that were shed since the last review; trim
 	// is the correction of the capacity that follows from it, as a part.
 	lost     int
@@ -133,7 +106,7 @@
 	g.init(now)
 	g.demand.add(now, g.span(demandSpan, demandFactor), &c)
 	g.reviewShares(now)
-	if !now.Add(g.need()).Before(c.Deadline) {
+	if !now.Add(g.need(now)).Before(c.Deadline) {
 		return g.refuse(sqreason.ShedDeadline)
 	}
 	if len(g.queue.waiters) == 0 && len(g.running) < g.limit.Slots() {
@@ -181,7 +154,7 @@
 	g.limit.Ended(now, run.inFlight, len(g.running), r)
 	delete(g.running, id)
 	g.ages -= run.at
-	g.measure(r)
+	g.measure(now, r)
 	g.reviewShares(now)
 	return g.advance(now)
 }
@@ -241,11 +214,19 @@
 
 // measure takes the time of a call into the usual time. A call that ended
 // early says nothing, unless it had held its slot for longer than usual.
-func (g *Gate) measure(r Result) {
+func (g *Gate) measure(now time.Time, r Result) {
 	sample := r.Latency.Seconds()
-	if r.Outcome == OK || r.Outcome != Shed && r.Outcome != Unreachable && sample > g.usual {
-		g.usual = average(g.usual, sample)
+	slow := r.Outcome == Failed || r.Outcome == Cancelled
+	if r.Outcome != OK && (!slow || sample <= g.usual) {
+		return
+	}
+	weight := max(usualGain, 1-math.Exp(-float64(now.Sub(g.measured))/float64(usualSpan)))
+	if g.usual == 0 {
+		weight = 1
 	}
+	g.usual = g.need(now).Seconds()
+	g.usual += weight * (sample - g.usual)
+	g.measured = now
 }
 
 // advance drops what is late and fills free slots from the queue.
@@ -270,13 +251,13 @@
 // dropLate drops the calls that can't end before their deadline if they take
 // the usual time, and new ones that have waited too long.
 func (g *Gate) dropLate(now time.Time, e *Effect) {
-	need, patience := g.need(), max(minWait, seconds(g.usual))
+	need, patience := g.need(now), max(minWait, seconds(g.usual))
 	for i := 0; i < len(g.queue.waiters); {
 		w := &g.queue.waiters[i]
 		switch {
 		case !now.Add(need).Before(w.Deadline):
 			e.Dropped = append(e.Dropped, g.drop(i, sqreason.ShedDeadline))
-		case w.Depth == 0 && now.Sub(w.at) > patience:
+		case w.Depth == 0 && now.Sub(w.at) > patience*time.Duration(1+w.Importance):
 			e.Dropped = append(e.Dropped, g.drop(i, g.queue.why(i)))
 		default:
 			i++
@@ -314,8 +295,13 @@
 	return Decision{Verdict: Refused, Reason: reason, RetryAfter: max(reviewPeriod, seconds(wait))}
 }
 
-// need is the time that a call is sure to take once it has a slot.
-func (g *Gate) need() time.Duration {
+// need is the time that a call is likely to take once it has a slot. It fades
+// while no call ends, or a target that was slow once would be refused for good
+// the calls that could show that it no longer is.
+func (g *Gate) need(now time.Time) time.Duration {
+	if quiet := now.Sub(g.measured) - usualHalf; quiet > 0 {
+		return seconds(g.usual * math.Exp2(-float64(quiet)/float64(usualHalf)))
+	}
 	return seconds(g.usual)
 }
 
@@ -327,77 +313,6 @@
 	return min(maxQueue, max(minQueue, int(slots)))
 }
 
-// span is the longest of a time and a number of usual times.
-func (g *Gate) span(least time.Duration, factor float64) time.Duration {
-	return max(least, seconds(factor*g.usual))
-}
-
-// reviewShares divides the capacity between the classes of calls.
-func (g *Gate) reviewShares(now time.Time) {
-	if now.Sub(g.review) < reviewPeriod {
-		return
-	}
-	dt := now.Sub(g.review)
-	g.review = now
-	g.usage.decay(now)
-	g.adjustTrim(min(dt, trimSpan).Seconds())
-	if g.usual == 0 || !g.strained {
-		g.demand.admitAll()
-		return
-	}
-	g.demand.divide(now, g.span(demandSpan, demandFactor), g.capacity(now))
-	shedding := g.demand.level > squnit.ImportanceLow || g.demand.all < 1
-	if shedding && float64(len(g.running)+len(g.queue.waiters)) >= busyPart*float64(g.limit.Slots()) {
-		g.shed = now
-	}
-	g.strained = now.Sub(g.shed) <= calmFor
-}
-
-// adjustTrim moves the trim down by the part of the capacity that was shed
-// under way, and up by the part that was idle, over a time in seconds.
-func (g *Gate) adjustTrim(dt float64) {
-	lost := g.lost
-	g.lost = 0
-	if g.usual == 0 || !g.strained {
-		g.trim = 0
-		return
-	}
-	limit := float64(g.limit.Slots())
-	shed := float64(lost) * g.usual / limit
-	idle := max(0, limit-float64(len(g.running))) / limit * dt
-	g.trim = min(maxTrim, max(minTrim, g.trim+(idle-shedWeight*shed)/trimSpan.Seconds()))
-}
-
-// holdTime is the time that a call holds its slot, in seconds: the usual time,
-// or what the age of the running calls shows if the target has just become
-// slower, so that the calls which will tell have not ended yet.
-func (g *Gate) holdTime(now time.Time) float64 {
-	n := float64(len(g.running))
-	if n < minAged {
-		return g.usual
-	}
-	age := now.Sub(g.origin).Seconds() - g.ages/n
-	return max(g.usual, age/ageFactor)
-}
-
-// capacity is the calls a second that the target should get, so that the
-// queue reaches its reference length within a span.
-func (g *Gate) capacity(now time.Time) float64 {
-	limit := float64(g.limit.Slots())
-	reference := referencePart * float64(g.bound())
-	missing := reference + limit - float64(len(g.queue.waiters)+len(g.running))
-	usual := limit / g.holdTime(now)
-	correction := max(-maxCorrection, missing/g.span(correctSpan, correctFactor).Seconds()/usual)
-	return max(0, (1+g.trim+correction)*usual)
-}
-
-func average(old, sample float64) float64 {
-	if old == 0 {
-		return sample
-	}
-	return old + usualGain*(sample-old)
-}
-
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
--- a/internal/policy/sqadmit/limit.go
+++ b/internal/policy/sqadmit/limit.go
@@ -27,6 +27,9 @@
 	// queueingRise is the rise of the latency, as part of that of the limit,
 	// from which calls are taken to queue within the target.
 	queueingRise = 0.7
+	// otherRise is the ratio of the rise to that of the limit from which it has
+	// another cause.
+	otherRise = 1.3
 	// queueingPart is the part of the limit that is kept when a slope shows
 	// that calls queue within the target.
 	queueingPart = 0.85
@@ -205,7 +208,8 @@
 		l.anchor = anchor{limit: l.limit, latency: latency}
 	}
 	if step := l.limit / l.anchor.limit; step >= anchorStep {
-		if latency > l.anchor.latency*(1+queueingRise*(step-1)) {
+		rise := latency / l.anchor.latency
+		if rise > 1+queueingRise*(step-1) && rise < step*otherRise {
 			l.doubt()
 			return
 		}
--- /dev/null
+++ b/internal/policy/sqadmit/main_test.go
@@ -0,0 +1,16 @@
+package sqadmit
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes rapid's seed, so that a failure repeats.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
--- a/internal/policy/sqadmit/slope.go
+++ b/internal/policy/sqadmit/slope.go
@@ -9,6 +9,9 @@
 	// which calls are taken to queue within the target. It is 1 if each call
 	// in flight makes all slower in proportion.
 	queueSlope = 0.4
+	// timeSlope is the elasticity from which the latency has changed with time,
+	// and the calls in flight with it.
+	timeSlope = 1.5
 	// slopeErrors is the number of standard errors by which it must be more.
 	slopeErrors = 3
 )
@@ -38,5 +41,5 @@
 	}
 	elasticity := (s.xy/s.n - mx*my) / vx * mx / my
 	deviation := math.Sqrt(max(0, vy)/(vx*s.n)) * mx / my
-	return elasticity-slopeErrors*deviation > queueSlope
+	return elasticity-slopeErrors*deviation > queueSlope && elasticity < timeSlope
 }
--- a/internal/policy/sqadmit/usage.go
+++ b/internal/policy/sqadmit/usage.go
@@ -41,10 +41,7 @@
 		r = &usageRow{}
 		u.rows[c.Workspace] = r
 	}
-	weight := float64(c.Weight)
-	if weight <= 0 {
-		weight = 1
-	}
+	weight := weightOf(c)
 	u.sum += weight - r.weight
 	r.weight = weight
 	return r
