--- a/internal/state/sqmember/facts.go
+++ b/internal/state/sqmember/facts.go
@@ -137,7 +137,7 @@
 func (m *Member) acceptFact(w *sqmemberwire.Fact, src source) {
 	name := w.GetName()
 	held, ok := m.facts.held[name]
-	valid := name != "" && len(name) <= nameBytes && w.GetSize() <= FactBytes
+	valid := name != "" && len(name) <= nameBytes && w.GetSize() <= FactBytes && len(w.GetBody()) <= inlineBytes
 	if !valid || w.GetVersion() <= held.version || (!ok && len(m.facts.held) >= factsMost) {
 		return
 	}
--- a/internal/state/sqmember/row.go
+++ b/internal/state/sqmember/row.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
@@ -41,6 +42,10 @@
 	}
 }
 
+// countMost bounds incarnations and versions from outside, which are counted
+// up from there.
+const countMost = 1 << 62
+
 // Version counts the rows that a daemon gave out about itself within one
 // incarnation.
 type Version uint64
@@ -149,10 +154,12 @@
 	return r
 }
 
-// validRow says whether a row from outside can be taken in.
+// validRow says whether a row from outside can be taken in and passed on.
 func validRow(w *sqmemberwire.Row) bool {
 	return w.GetDaemon() != "" && w.GetDataCentre() != "" && w.GetPeerAddress() != "" &&
-		w.GetIncarnation() != 0 && w.GetState() >= 0 && w.GetState() <= sqmemberwire.State_STATE_LEFT
+		w.GetIncarnation() != 0 && w.GetIncarnation() < countMost && w.GetVersion() < countMost &&
+		w.GetState() >= 0 && w.GetState() <= sqmemberwire.State_STATE_LEFT &&
+		proto.Size(w) <= rowBytes+nameBytes
 }
 
 func (r Row) target(t Target) sqtarget.Row {
--- a/internal/state/sqmember/script_test.go
+++ b/internal/state/sqmember/script_test.go
@@ -144,6 +144,15 @@
 	},
 	// replaced NAME COUNT: it was told so often that its name is taken.
 	"replaced": func(s *script, args []string) bool { return s.node(args[0]).replaced == s.int(args[1]) },
+	// forgotten NAME: no running daemon has a row of it.
+	"forgotten": func(s *script, args []string) bool {
+		for _, v := range s.n.running() {
+			if _, ok := v.Row(sqid.DaemonID(args[0])); ok {
+				return false
+			}
+		}
+		return true
+	},
 	// address NAME ADDRESS: where all others find a daemon.
 	"address": func(s *script, args []string) bool {
 		for _, v := range s.n.running() {
--- a/internal/state/sqmember/view.go
+++ b/internal/state/sqmember/view.go
@@ -26,12 +26,26 @@
 
 // centre is one data centre.
 type centre struct {
-	live    map[sqid.DaemonID]struct{}
+	// byRank has the live daemons. It is replaced, never modified.
 	byRank  []sqid.DaemonID
-	stale   bool
 	digests [buckets]uint64
 }
 
+func compareRank(a, b sqid.DaemonID) int {
+	return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b))
+}
+
+// set adds a daemon to the live ones, or removes it.
+func (c *centre) set(id sqid.DaemonID, live bool) {
+	i, found := slices.BinarySearchFunc(c.byRank, id, compareRank)
+	switch {
+	case live && !found:
+		c.byRank = slices.Insert(slices.Clone(c.byRank), i, id)
+	case !live && found:
+		c.byRank = slices.Delete(slices.Clone(c.byRank), i, i+1)
+	}
+}
+
 func bucketOf(id sqid.DaemonID) int {
 	return int(rank(id) % buckets)
 }
@@ -45,7 +59,7 @@
 		v.centres = make(map[sqid.DataCentreID]*centre)
 		v.gone = make(map[sqid.DaemonID]time.Time)
 	}
-	c = &centre{live: make(map[sqid.DaemonID]struct{})}
+	c = new(centre)
 	v.centres[dc] = c
 	v.order = append(v.order, dc)
 	slices.Sort(v.order)
@@ -58,14 +72,13 @@
 	before := v.digest
 	if had {
 		v.fold(old)
-		delete(v.centre(old.DataCentre).live, old.ID)
-		v.centre(old.DataCentre).stale = true
+	}
+	if had && old.DataCentre != r.DataCentre {
+		v.centre(old.DataCentre).set(r.ID, false)
 	}
 	v.fold(r)
-	c := v.centre(r.DataCentre)
-	c.stale = true
+	v.centre(r.DataCentre).set(r.ID, r.live())
 	if r.live() {
-		c.live[r.ID] = struct{}{}
 		delete(v.gone, r.ID)
 	} else {
 		v.gone[r.ID] = now
@@ -83,22 +96,10 @@
 
 // ranked returns the live daemons of a data centre, lowest rank first.
 func (v *view) ranked(dc sqid.DataCentreID) []sqid.DaemonID {
-	c := v.centres[dc]
-	if c == nil {
-		return nil
-	}
-	if !c.stale {
+	if c := v.centres[dc]; c != nil {
 		return c.byRank
 	}
-	c.stale = false
-	c.byRank = make([]sqid.DaemonID, 0, len(c.live))
-	for id := range c.live {
-		c.byRank = append(c.byRank, id)
-	}
-	slices.SortFunc(c.byRank, func(a, b sqid.DaemonID) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b))
-	})
-	return c.byRank
+	return nil
 }
 
 // sample returns up to n ids at random, without those that skip refuses.
