Ask few seeds at once, and survive calls outside of Run

The gRPC server may serve before Run has bound the address or after it has ended; a message sent then met no socket. A daemon that boots with the seeds of 12 data centres would have asked all 96, each of which answers with the whole fleet.

Run: go test -race ./internal/edge/sqgossip

--- a/internal/edge/sqgossip/seeds.go
+++ b/internal/edge/sqgossip/seeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -14,6 +15,9 @@
 	// healPeriod is the time between two looks for daemons of a group that
 	// got separated.
 	healPeriod = 60 * time.Second
+	// joinsMost bounds the seeds asked at once, each of which may answer with
+	// the whole fleet.
+	joinsMost = 2
 	// seedsTimeout bounds one question for seeds.
 	seedsTimeout = 3 * time.Second
 )
@@ -59,6 +63,12 @@
 		if err != nil {
 			t.Logger.Info("find first peers", "error", err.Error())
 		}
-		t.send(ctx, t.Member.Join(time.Now(), t.Member.Strangers(addresses)))
+		t.send(t.Member.Join(time.Now(), pick(t.Member.Strangers(addresses))))
 	}
 }
+
+// pick returns a few addresses at random.
+func pick(addresses []string) []string {
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), joinsMost)]
+}
--- a/internal/edge/sqgossip/service.go
+++ b/internal/edge/sqgossip/service.go
@@ -40,7 +40,7 @@
 	t := s.transport
 	t.count(received, kindSync, proto.Size(req))
 	reply, sends := t.Member.Exchange(time.Now(), req)
-	t.send(context.WithoutCancel(stream.Context()), sends)
+	t.send(sends)
 	for part := range slices.Chunk(reply.GetRows(), partRows) {
 		if err := t.sendPart(stream, &sqmemberwire.ExchangeReply{From: reply.GetFrom(), Rows: part}); err != nil {
 			return err
--- a/internal/edge/sqgossip/transport.go
+++ b/internal/edge/sqgossip/transport.go
@@ -67,10 +67,16 @@
 	once  sync.Once
 	wake  chan struct{}
 	slots chan struct{}
+
+	mu sync.Mutex
+	// conn is nil while Run does not run, and ctx ends with it.
 	conn  *net.UDPConn
+	ctx   context.Context
 	calls sync.WaitGroup
 }
 
+var errNotRunning = errors.New("the transport does not run")
+
 func (t *Transport) init() {
 	t.once.Do(func() {
 		t.wake = make(chan struct{}, 1)
@@ -95,26 +101,34 @@
 	if err != nil {
 		return sqerror.At(sqerror.StepMember, t.Member.Self().ID, errors.Wrap(err, "peer address"))
 	}
-	t.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
 		return sqerror.At(sqerror.StepMember, t.Member.Self().ID, errors.Wrap(err, "bind the peer address"))
 	}
-	var timer sqtimer.Service
-	timer.Subscribe(sqmember.TickPeriod, sqtimer.SystemFunc(func(now time.Time) { t.send(ctx, t.Member.Tick(now)) }))
 	g, ctx := errgroup.WithContext(ctx)
+	t.set(ctx, conn)
+	var timer sqtimer.Service
+	timer.Subscribe(sqmember.TickPeriod, sqtimer.SystemFunc(func(now time.Time) { t.send(t.Member.Tick(now)) }))
 	g.Go(func() error { return timer.Run(ctx) })
-	g.Go(func() error { return t.read(ctx) })
+	g.Go(func() error { return t.read(conn) })
 	g.Go(func() error { return t.flush(ctx) })
 	g.Go(func() error { return t.seed(ctx) })
 	g.Go(func() error {
 		<-ctx.Done()
-		return t.conn.Close()
+		return conn.Close()
 	})
 	err = g.Wait()
+	t.set(nil, nil)
 	t.calls.Wait()
 	return err
 }
 
+func (t *Transport) set(ctx context.Context, conn *net.UDPConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ctx, t.conn = ctx, conn
+}
+
 // Leave announces that the daemon stops and returns when the word has been
 // passed on, or with ctx's error. Run must still be running.
 func (t *Transport) Leave(ctx context.Context) error {
@@ -139,15 +153,15 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.wake:
-			t.send(ctx, t.Member.Flush(time.Now()))
+			t.send(t.Member.Flush(time.Now()))
 		}
 	}
 }
 
-func (t *Transport) read(ctx context.Context) error {
+func (t *Transport) read(conn *net.UDPConn) error {
 	b := make([]byte, receiveBytes)
 	for {
-		n, from, err := t.conn.ReadFromUDPAddrPort(b)
+		n, from, err := conn.ReadFromUDPAddrPort(b)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -163,7 +177,7 @@
 		}
 		t.count(received, kindGossip, n)
 		address := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
-		t.send(ctx, t.Member.Receive(time.Now(), address, &d))
+		t.send(t.Member.Receive(time.Now(), address, &d))
 	}
 }
 
@@ -173,17 +187,36 @@
 	}
 }
 
-func (t *Transport) send(ctx context.Context, sends []sqmember.Send) {
+// send sends messages. Calls are answered by an error if Run does not run.
+func (t *Transport) send(sends []sqmember.Send) {
 	for _, s := range sends {
-		if s.Datagram != nil {
-			t.sendDatagram(s)
+		t.mu.Lock()
+		ctx, conn := t.ctx, t.conn
+		switch {
+		case conn == nil:
+			t.mu.Unlock()
+			t.refuse(s)
 			continue
+		case s.Datagram == nil:
+			t.calls.Go(func() { t.call(ctx, s) })
+		}
+		t.mu.Unlock()
+		if s.Datagram != nil {
+			t.sendDatagram(conn, s)
 		}
-		t.calls.Go(func() { t.call(ctx, s) })
 	}
 }
 
-func (t *Transport) sendDatagram(s sqmember.Send) {
+func (t *Transport) refuse(s sqmember.Send) {
+	switch {
+	case s.Fetch != nil:
+		t.send(t.Member.Fetched(time.Now(), s.Address, s.Fetch, nil, errNotRunning))
+	case s.Exchange != nil:
+		t.send(t.Member.Exchanged(time.Now(), s.Address, nil, errNotRunning))
+	}
+}
+
+func (t *Transport) sendDatagram(conn *net.UDPConn, s sqmember.Send) {
 	b, err := proto.Marshal(s.Datagram)
 	if err != nil {
 		t.Logger.Error(err, "encode datagram")
@@ -194,7 +227,7 @@
 		t.Logger.Error(err, "peer address", "peerAddress", s.Address)
 		return
 	}
-	if _, err := t.conn.WriteToUDPAddrPort(b, to); err != nil {
+	if _, err := conn.WriteToUDPAddrPort(b, to); err != nil {
 		t.Logger.V(1).Info("send datagram", "peerAddress", s.Address, "error", err.Error())
 		return
 	}
@@ -205,17 +238,17 @@
 func (t *Transport) call(ctx context.Context, s sqmember.Send) {
 	t.slots <- struct{}{}
 	defer func() { <-t.slots }()
-	within, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if s.Fetch != nil {
-		body, err := t.fetch(within, s.Address, s.Fetch)
+		body, err := t.fetch(ctx, s.Address, s.Fetch)
 		t.report(s, err)
-		t.send(ctx, t.Member.Fetched(time.Now(), s.Address, s.Fetch, body, err))
+		t.send(t.Member.Fetched(time.Now(), s.Address, s.Fetch, body, err))
 		return
 	}
-	reply, err := t.exchange(within, s.Address, s.Exchange)
+	reply, err := t.exchange(ctx, s.Address, s.Exchange)
 	t.report(s, err)
-	t.send(ctx, t.Member.Exchanged(time.Now(), s.Address, reply, err))
+	t.send(t.Member.Exchanged(time.Now(), s.Address, reply, err))
 }
 
 func (t *Transport) report(s sqmember.Send, err error) {
