--- a/internal/state/sqkeeper/keeper.go
+++ b/internal/state/sqkeeper/keeper.go
@@ -46,11 +46,6 @@
 	Self  Member
 	Terms Terms
 
-	// unfenced is a test switch: without it a keeper spends on the record
-	// that it knows, however old its evidence, and a successor waits for
-	// nothing.
-	unfenced bool
-
 	record    *Record
 	adopted   time.Time
 	platform  time.Time
@@ -126,7 +121,7 @@
 	*t = tenure{since: h.Since}
 	offered := m.handovers[s]
 	switch {
-	case h.Since == 1, m.unfenced:
+	case h.Since == 1:
 		// Nobody kept the shard before.
 		t.start = now
 	case h.HandedSince > 0 && offered == h.HandedSince:
@@ -192,17 +187,6 @@
 	m.advance(now)
 }
 
-// Seen notes a daemon's life; an earlier life of it has ended.
-func (m *Machine) Seen(o Member) {
-	if o.Incarnation <= m.heard[o.Daemon].incarnation {
-		return
-	}
-	if m.heard == nil {
-		m.heard = make(map[sqid.DaemonID]heard)
-	}
-	m.heard[o.Daemon] = heard{incarnation: o.Incarnation}
-}
-
 // Knows reports whether a daemon is known to know of the newest record.
 func (m *Machine) Knows(o Member) bool {
 	return m.knows(o, m.Epoch())
@@ -365,7 +349,7 @@
 	if !ok || now.Before(start) {
 		return false
 	}
-	return m.unfenced || now.Before(m.FreshUntil(now))
+	return now.Before(m.FreshUntil(now))
 }
 
 // Waiting reports whether this daemon waits for earlier rosters to close.
