Tell nested calls of two runs from one that ran twice

A request that is idempotent may run again after a cut answer, and its second run makes its own nested calls.

--- a/internal/standin/sqexperiment/file.go
+++ b/internal/standin/sqexperiment/file.go
@@ -34,6 +34,8 @@
 	// CauseFrom and CauseFor are when the cause of the trouble holds.
 	CauseFrom sqsettings.Span `toml:"causeFrom"`
 	CauseFor  sqsettings.Span `toml:"causeFor"`
+	// Settle is how long the fleet rests before load is sent.
+	Settle sqsettings.Span `toml:"settle"`
 	// CauseCapacity is the part of the capacity that is left while the cause
 	// holds; 0 is all.
 	CauseCapacity float64 `toml:"causeCapacity"`
--- a/internal/standin/sqexperiment/latency.go
+++ b/internal/standin/sqexperiment/latency.go
@@ -45,6 +45,8 @@
 	P90   int64  `json:"p90"`
 	P99   int64  `json:"p99"`
 	P999  int64  `json:"p999"`
+	// Reason counts the refusals by reason.
+	Reason map[string]int `json:"reason,omitempty"`
 }
 
 // LatencyReport is what Latency measured.
@@ -168,7 +170,7 @@
 		}
 	}
 	return PathLatency{
-		Path: path, Calls: r.All.Requests, Whole: r.All.Whole,
+		Path: path, Calls: r.All.Requests, Whole: r.All.Whole, Reason: r.All.Reason,
 		P50: h.ValueAtQuantile(50), P90: h.ValueAtQuantile(90), P99: h.ValueAtQuantile(99), P999: h.ValueAtQuantile(99.9),
 	}
 }
@@ -178,9 +180,9 @@
 func (r *LatencyReport) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, tablePadding, ' ', 0)
 	fmt.Fprintf(t, "%.0f calls/s each way at the same time\n", float64(r.Rate))
-	fmt.Fprintln(t, "path\tcalls\twhole\tp50 µs\tp90 µs\tp99 µs\tp99.9 µs")
+	fmt.Fprintln(t, "path\tcalls\twhole\tp50 µs\tp90 µs\tp99 µs\tp99.9 µs\trefused")
 	for _, p := range r.Paths {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\n", p.Path, p.Calls, p.Whole, p.P50, p.P90, p.P99, p.P999)
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%v\n", p.Path, p.Calls, p.Whole, p.P50, p.P90, p.P99, p.P999, p.Reason)
 	}
 	a, b := r.Paths[0], r.Paths[1]
 	fmt.Fprintf(t, "added\t\t\t%d\t%d\t%d\t%d\n", b.P50-a.P50, b.P90-a.P90, b.P99-a.P99, b.P999-a.P999)
--- a/internal/standin/sqexperiment/run.go
+++ b/internal/standin/sqexperiment/run.go
@@ -74,6 +74,7 @@
 	if err := WaitServing(ctx, f, cfg); err != nil {
 		return Run{}, err
 	}
+	time.Sleep(time.Duration(r.File.Settle))
 	warm := cfg
 	warm.Seed, warm.Duration = seed+1<<32, sqsettings.Span(warmUp)
 	for i := range warm.Workspaces {
--- a/internal/standin/sqtargetstand/call.go
+++ b/internal/standin/sqtargetstand/call.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -84,7 +85,7 @@
 	if !sleep(r.Context(), t.serviceTime(time.Now())) {
 		return OutcomeCancelled
 	}
-	if err := t.callNested(r); err != nil {
+	if err := t.callNested(r, n); err != nil {
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return OutcomeFailed
 	}
@@ -170,26 +171,32 @@
 	return OutcomeDone
 }
 
-func (t *Target) callNested(r *http.Request) error {
+func (t *Target) callNested(r *http.Request, run uint64) error {
 	if t.Config.LocalAddress == "" || len(t.Config.Nested) == 0 {
 		return nil
 	}
 	if !t.Config.Parallel {
-		for _, n := range t.Config.Nested {
-			if err := t.callOne(r.Context(), r, n); err != nil {
+		for i, n := range t.Config.Nested {
+			if err := t.callOne(r.Context(), r, n, t.callID(run, i)); err != nil {
 				return err
 			}
 		}
 		return nil
 	}
 	g, ctx := errgroup.WithContext(r.Context())
-	for _, n := range t.Config.Nested {
-		g.Go(func() error { return t.callOne(ctx, r, n) })
+	for i, n := range t.Config.Nested {
+		g.Go(func() error { return t.callOne(ctx, r, n, t.callID(run, i)) })
 	}
 	return g.Wait()
 }
 
-func (t *Target) callOne(ctx context.Context, r *http.Request, n NestedCall) error {
+// callID returns an id of a run's nested call with index i, unique over all
+// lives of all targets.
+func (t *Target) callID(run uint64, i int) string {
+	return fmt.Sprintf("%s-%x-%d-%d", t.Config.Name, t.started, run, i)
+}
+
+func (t *Target) callOne(ctx context.Context, r *http.Request, n NestedCall, id string) error {
 	method := n.Method
 	if method == "" {
 		method = http.MethodGet
@@ -201,6 +208,7 @@
 	}
 	req.Header.Set(callHeader, r.Header.Get(callHeader))
 	req.Header.Set(RequestIDHeader, r.Header.Get(RequestIDHeader))
+	req.Header.Set(CallIDHeader, id)
 	resp, err := t.Client.Do(req)
 	if err != nil {
 		return errors.Wrapf(errNested, "%s: %v", n.Service, err)
--- a/internal/standin/sqtargetstand/record.go
+++ b/internal/standin/sqtargetstand/record.go
@@ -14,6 +14,10 @@
 // pass it on to nested calls, and answers repeat it in header and body.
 const RequestIDHeader = "X-Request-Id"
 
+// CallIDHeader carries an id that a run gives to each of its nested calls, so
+// that a nested call that ran twice is told from two calls of two runs.
+const CallIDHeader = "X-Call-Id"
+
 // OperationHeader carries the idempotency key of a caller's operation.
 const OperationHeader = "Idempotency-Key"
 
@@ -45,7 +49,9 @@
 
 // Run is the record of one call that reached the target.
 type Run struct {
-	RequestID string           `json:"requestId"`
+	RequestID string `json:"requestId"`
+	// CallID is empty for a caller's own request.
+	CallID    string           `json:"callId,omitempty"`
 	Operation string           `json:"operation,omitempty"`
 	Workspace sqid.WorkspaceID `json:"workspace,omitempty"`
 	Method    string           `json:"method"`
@@ -69,6 +75,7 @@
 func (r *Record) Begin(req *http.Request, now time.Time) int {
 	run := Run{
 		RequestID: req.Header.Get(RequestIDHeader),
+		CallID:    req.Header.Get(CallIDHeader),
 		Operation: req.Header.Get(OperationHeader),
 		Workspace: sqid.WorkspaceID(req.Header.Get("Sequoia-Workspace")),
 		Method:    req.Method,
--- a/internal/standin/sqtargetstand/server.go
+++ b/internal/standin/sqtargetstand/server.go
@@ -29,6 +29,7 @@
 	Client *http.Client
 
 	record    Record
+	started   int64
 	behaviour behaviourBox
 	slots     chan struct{}
 	waiting   atomic.Int64
@@ -99,6 +100,7 @@
 	if t.Client == nil {
 		t.Client = newClient()
 	}
+	t.started = now.UnixNano()
 	t.slots = make(chan struct{}, t.Config.Slots)
 	t.rnd = rand.New(rand.NewPCG(t.Config.Seed, uint64(len(t.Config.Name))))
 	t.behaviour.set(t.Config.Behaviour, now)
--- a/internal/standin/sqverify/verify.go
+++ b/internal/standin/sqverify/verify.go
@@ -106,15 +106,15 @@
 	id      string
 }
 
-// RunTwice returns the non-idempotent requests and operations that ran more
-// than once.
+// RunTwice returns the non-idempotent calls and operations that ran more than
+// once. Calls of two runs of one idempotent request are two calls.
 func (e *Evidence) RunTwice() []Violation {
 	requests, operations := make(map[place]int), make(map[place]int)
 	e.eachRun(func(service sqid.ServiceID, r *sqtargetstand.Run) {
 		if r.Method != http.MethodPost && r.Method != http.MethodPatch {
 			return
 		}
-		requests[place{service, r.Path, r.RequestID}]++
+		requests[place{service, r.Path, r.RequestID + " " + r.CallID}]++
 		if r.Operation != "" {
 			operations[place{service, r.Path, string(r.Workspace) + " " + r.Operation}]++
 		}
--- a/internal/standin/sqverify/verify_test.go
+++ b/internal/standin/sqverify/verify_test.go
@@ -73,8 +73,8 @@
 		Crossed                       bool
 	}
 	Runs []struct {
-		ID, Service, Workspace, Operation, Method, Outcome string
-		KeySeen                                            bool
+		ID, Call, Service, Workspace, Operation, Method, Outcome string
+		KeySeen                                                  bool
 	}
 	Want []string
 }
@@ -92,7 +92,7 @@
 	for _, r := range s.Runs {
 		service := sqid.ServiceID(r.Service)
 		e.Runs[service] = append(e.Runs[service], sqtargetstand.Run{
-			RequestID: r.ID, Workspace: sqid.WorkspaceID(r.Workspace), Operation: r.Operation,
+			RequestID: r.ID, CallID: r.Call, Workspace: sqid.WorkspaceID(r.Workspace), Operation: r.Operation,
 			Method: r.Method, Path: "/p", Outcome: sqtargetstand.Outcome(r.Outcome), KeySeen: r.KeySeen,
 		})
 	}
