--- a/internal/standin/sqexperiment/latency.go
+++ b/internal/standin/sqexperiment/latency.go
@@ -66,6 +66,8 @@
 	latencySlots   squnit.Slots     = 512
 	latencyTimeout                  = 2 * time.Second
 	rateHeadroom                    = 4
+	// latencySettle is until the keepers of a new fleet have settled.
+	latencySettle = 8 * time.Second
 )
 
 // Run starts two daemons, one of them with a target, and measures.
@@ -91,6 +93,7 @@
 	if err := WaitServing(ctx, f, through); err != nil {
 		return nil, err
 	}
+	time.Sleep(latencySettle)
 	direct := l.config(tenant, "http://"+f.Targets()[0].Address)
 	direct.Direct = true
 	if _, err := l.both(ctx, direct, through, warmUp); err != nil {
