--- a/internal/edge/sqledger/backup.go
+++ b/internal/edge/sqledger/backup.go
@@ -56,14 +56,19 @@
 	return others
 }
 
-// Shares returns the newest set of data centres in the data centre's record.
+// Shares returns the newest set of data centres that this daemon knows, from
+// the platform or from any keepers record. Its epoch never goes back.
 func (l *Ledger) Shares() sqkeeper.SharesSet {
 	l.init()
-	r := l.view.Load().records[l.DataCentre]
-	if r == nil {
-		return sqkeeper.SharesSet{}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	newest := l.shares
+	for _, r := range l.records {
+		if s := r.NewestShares(); s.Epoch > newest.Epoch {
+			newest = s
+		}
 	}
-	return r.NewestShares()
+	return newest
 }
 
 // errNotKept says that the daemon no longer keeps a shard.
--- a/internal/state/sqmember/row.go
+++ b/internal/state/sqmember/row.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
@@ -41,6 +42,10 @@
 	}
 }
 
+// countMost bounds incarnations and versions from outside, which are counted
+// up from there.
+const countMost = 1 << 62
+
 // Version counts the rows that a daemon gave out about itself within one
 // incarnation.
 type Version uint64
@@ -107,6 +112,11 @@
 	return xxhash.Sum64String(string(id))
 }
 
+// shortHash tells the daemons of one address apart.
+func shortHash(id sqid.DaemonID) uint32 {
+	return uint32(rank(id))
+}
+
 func (r Row) wire() *sqmemberwire.Row {
 	w := &sqmemberwire.Row{
 		Daemon: string(r.ID), Incarnation: uint64(r.Incarnation), Version: uint64(r.Version),
@@ -144,10 +154,12 @@
 	return r
 }
 
-// validRow says whether a row from outside can be taken in.
+// validRow says whether a row from outside can be taken in and passed on.
 func validRow(w *sqmemberwire.Row) bool {
 	return w.GetDaemon() != "" && w.GetDataCentre() != "" && w.GetPeerAddress() != "" &&
-		w.GetIncarnation() != 0 && w.GetState() >= 0 && w.GetState() <= sqmemberwire.State_STATE_LEFT
+		w.GetIncarnation() != 0 && w.GetIncarnation() < countMost && w.GetVersion() < countMost &&
+		w.GetState() >= 0 && w.GetState() <= sqmemberwire.State_STATE_LEFT &&
+		proto.Size(w) <= rowBytes+nameBytes
 }
 
 func (r Row) target(t Target) sqtarget.Row {
