--- a/internal/edge/sqledger/account.go
+++ b/internal/edge/sqledger/account.go
@@ -205,7 +205,7 @@
 		a.target, a.at = target, now.Add(spreadTerm)
 		a.share = a.share.Min(target)
 	}
-	if !a.at.IsZero() && !now.Before(a.at) {
+	if !a.at.IsZero() && (l.hasty || !now.Before(a.at)) {
 		a.share, a.at = a.target, time.Time{}
 	}
 	a.ledger.Reshare(now, a.share)
--- a/internal/edge/sqledger/fleet_test.go
+++ b/internal/edge/sqledger/fleet_test.go
@@ -14,6 +14,8 @@
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
@@ -175,10 +177,13 @@
 	late         time.Duration
 	delay        func(from, to sqid.DataCentreID) time.Duration
 	// group is the number of charges that come at the same time.
-	group int
-	tune  func(*Ledger)
-	spent map[sqid.WorkspaceID][]time.Time
-	lends int
+	group    int
+	tune     func(*Ledger)
+	changes  []listChange
+	spent    map[sqid.WorkspaceID][]time.Time
+	lends    int
+	messages int
+	bytes    map[sqid.DaemonID]int
 }
 
 type fact struct {
@@ -198,6 +203,7 @@
 		cut:         make(map[[2]sqid.DataCentreID]bool),
 		isolated:    make(map[string]bool),
 		facts:       make(map[string]fact),
+		bytes:       make(map[sqid.DaemonID]int),
 		spent:       make(map[sqid.WorkspaceID][]time.Time),
 		delay: func(from, to sqid.DataCentreID) time.Duration {
 			if from == to {
@@ -511,14 +517,22 @@
 }
 
 func (p *simPeer) Lend(ctx context.Context, r *sqledgerwire.LendRequest) (*sqledgerwire.LendAnswer, error) {
-	p.f.mu.Lock()
-	p.f.lends++
-	p.f.mu.Unlock()
-	return call(ctx, p, func(n *node) *sqledgerwire.LendAnswer { return n.serveLend(r) })
+	p.f.set(func() { p.f.lends++ })
+	return call(ctx, p, func(n *node) *sqledgerwire.LendAnswer { return metered(p, r, n.serveLend(r)) })
+}
+
+// metered counts the bytes of a request and its answer at both daemons.
+func metered[A proto.Message](p *simPeer, request proto.Message, answer A) A {
+	p.f.set(func() {
+		p.f.bytes[p.from.Self.Daemon] += proto.Size(request) + proto.Size(answer)
+		p.f.bytes[sqid.DaemonID(p.address)] += proto.Size(request) + proto.Size(answer)
+		p.f.messages += 2
+	})
+	return answer
 }
 
 func (p *simPeer) Witness(ctx context.Context, r *sqledgerwire.WitnessRequest) (*sqledgerwire.WitnessAnswer, error) {
-	return call(ctx, p, func(n *node) *sqledgerwire.WitnessAnswer { return n.serveWitness(r) })
+	return call(ctx, p, func(n *node) *sqledgerwire.WitnessAnswer { return metered(p, r, n.serveWitness(r)) })
 }
 
 func (p *simPeer) Handover(ctx context.Context, r *sqledgerwire.HandoverRequest) (*sqledgerwire.HandoverAnswer, error) {
--- a/internal/edge/sqledger/ledger.go
+++ b/internal/edge/sqledger/ledger.go
@@ -82,6 +82,8 @@
 	unfenced bool
 	// looseLoans is a test switch: loans leave the lender its capacity.
 	looseLoans bool
+	// hasty is a test switch: a changed share applies at once.
+	hasty bool
 
 	once sync.Once
 	dial func(address string) (peer, error)
--- /dev/null
+++ b/internal/edge/sqledger/traffic_test.go
@@ -0,0 +1,67 @@
+package sqledger
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
+)
+
+// TestControlTraffic measures what keepers send each other at rest and while
+// some workspaces have all their load at one entry, and what the platform is
+// asked. At rest a daemon stays below 2 KB/s, and more daemons do not ask the
+// platform more.
+func TestControlTraffic(t *testing.T) {
+	const span = 60 * time.Second
+	platform := make(map[int]int)
+	for _, tc := range []struct{ dcs, each, hot int }{{4, 5, 0}, {4, 10, 0}, {4, 5, 5}, {4, 5, 10}, {12, 2, 5}} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(t, 1)
+			defer f.close()
+			f.delay = regions
+			var plans []sqlists.Plan
+			for i := range 100 {
+				plans = append(plans, plan(fmt.Sprintf("shop%d", i), 50, 50))
+			}
+			f.plans(plans...)
+			f.startAll(tc.dcs, tc.each)
+			time.Sleep(settling)
+			calls, messages := f.store.calls, 0
+			f.set(func() { clear(f.bytes); messages = f.messages })
+			for i := range tc.hot {
+				go f.drain(sqid.WorkspaceID(plans[i].Name), 45, span)
+			}
+			time.Sleep(span)
+			most := 0
+			f.set(func() {
+				for _, n := range f.bytes {
+					most = max(most, n)
+				}
+				messages = f.messages - messages
+			})
+			calls = f.store.calls - calls
+			t.Logf("%d x %d daemons, %d hot workspaces: busiest daemon %.0f B/s, fleet %.1f messages/s, platform %.2f calls/s",
+				tc.dcs, tc.each, tc.hot, float64(most)/span.Seconds(), float64(messages)/span.Seconds(), float64(calls)/span.Seconds())
+			if tc.hot == 0 {
+				platform[tc.each] = calls
+				c.Check(float64(most)/span.Seconds() < 2048, qt.IsTrue)
+			}
+		})
+	}
+	qt.Check(t, platform[10] <= platform[5]+platform[5]/20, qt.IsTrue, qt.Commentf("%v", platform))
+}
+
+// drain sends a steady load of a workspace through one entry.
+func (f *fleet) drain(w sqid.WorkspaceID, load float64, span time.Duration) {
+	n := f.node("dc00-0")
+	for end := time.Now().Add(span); time.Now().Before(end); {
+		time.Sleep(time.Duration(float64(time.Second) / load))
+		_, _ = n.Charge(f.ctx, w)
+	}
+}
