--- a/internal/edge/sqledger/borrow.go
+++ b/internal/edge/sqledger/borrow.go
@@ -32,6 +32,9 @@
 	failBackoff  = 500 * time.Millisecond
 	// borrowPeriod is the least time between two rounds of borrowing ahead.
 	borrowPeriod = 100 * time.Millisecond
+	// noLoanTerm is how long a data centre that had nothing to lend is not
+	// asked again for a loan.
+	noLoanTerm = time.Second
 )
 
 // borrowing is the part of an account that concerns other data centres. The
@@ -43,6 +46,8 @@
 	backoff map[sqid.DataCentreID]time.Time
 	// lenders is the data centre of each borrowed loan.
 	lenders map[sqlimit.LoanID]sqid.DataCentreID
+	// noLoan is until when a data centre is not asked for a loan.
+	noLoan  map[sqid.DataCentreID]time.Time
 	next    time.Time
 	renewAt time.Time
 }
@@ -299,6 +304,9 @@
 		if want.Rate <= 0 {
 			return
 		}
+		if now.Before(b.noLoan[dc]) {
+			continue
+		}
 		part := want.Min(a.share)
 		want = want.Minus(part)
 		request := &sqledgerwire.LendRequest{
@@ -313,12 +321,22 @@
 func (l *Ledger) exchange(ctx context.Context, a *account, dc sqid.DataCentreID, request *sqledgerwire.LendRequest) {
 	sent := time.Now()
 	answer, err := l.lend(ctx, dc, request)
-	if err != nil || !answer.Keeping {
-		return
-	}
 	a.shard.mu.Lock()
 	defer a.shard.mu.Unlock()
-	l.takeIn(a, dc, sent, time.Now(), answer)
+	now := time.Now()
+	if request.Rate > 0 && (err != nil || answer.Loan == nil) {
+		a.borrowing.lacks(dc, now)
+	}
+	if err == nil && answer.Keeping {
+		l.takeIn(a, dc, sent, now, answer)
+	}
+}
+
+func (b *borrowing) lacks(dc sqid.DataCentreID, now time.Time) {
+	if b.noLoan == nil {
+		b.noLoan = make(map[sqid.DataCentreID]time.Time)
+	}
+	b.noLoan[dc] = now.Add(noLoanTerm)
 }
 
 // renew extends the borrowed loans that are still needed and gives back the
--- /dev/null
+++ b/internal/state/sqkeeper/keeper_test.go
@@ -0,0 +1,274 @@
+package sqkeeper
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "5000")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1000, 0)
+
+func member(i, life int) Member {
+	return Member{Daemon: sqid.DaemonID(fmt.Sprintf("d%d", i)), Incarnation: sqid.Incarnation(life)}
+}
+
+// model is the daemons of a data centre, each life a machine; what they say to
+// each other and what the platform answers arrives late, twice or never.
+type model struct {
+	now      time.Time
+	machines []*Machine // the newest life of each daemon
+	platform *Record
+	messages []func()
+	lives    int
+}
+
+func newModel(n int) *model {
+	m := &model{now: start}
+	for i := range n {
+		m.machines = append(m.machines, &Machine{Self: member(i, 1), Terms: DefaultTerms()})
+	}
+	m.lives = 1
+	m.platform = First("dc", m.machines[0].Self, SharesSet{}, SharesSet{Epoch: 1, DataCentres: []sqid.DataCentreID{"dc"}})
+	m.machines[0].Adopt(m.platform, m.now)
+	m.machines[0].PlatformRead(1, m.now, m.now)
+	return m
+}
+
+func (m *model) later(f func()) {
+	m.messages = append(m.messages, f)
+}
+
+// read has the platform answer now; the answer arrives later.
+func (m *model) read(k *Machine) {
+	sent, r := m.now, m.platform
+	m.later(func() {
+		k.Adopt(r, m.now)
+		k.PlatformRead(r.Epoch, sent, m.now)
+	})
+}
+
+// ask asks the newest life of a daemon for its epoch.
+func (m *model) ask(k *Machine, of int) {
+	sent, tell := m.now, k.Record()
+	m.later(func() {
+		w := m.machines[of]
+		if tell != nil {
+			w.Adopt(tell, m.now)
+		}
+		epoch, known := w.Epoch(), w.Record()
+		m.later(func() {
+			if known != nil {
+				k.Adopt(known, m.now)
+			}
+			k.Heard(w.Self, epoch, sent, m.now)
+		})
+	})
+}
+
+// change writes the next record, if nobody else has written since k knew it.
+func (m *model) change(k *Machine, alive []Member, lost bool) {
+	if k.Epoch() != m.platform.Epoch {
+		return
+	}
+	next, ok := m.platform.Next(Changes{Alive: alive, Closed: func(e Earlier) bool { return k.Closed(e, m.now) }})
+	if ok {
+		m.write(k, next, lost)
+	}
+}
+
+func (m *model) write(k *Machine, next *Record, lost bool) {
+	m.platform = next
+	if !lost {
+		k.Adopt(next, m.now)
+		k.PlatformRead(next.Epoch, m.now, m.now)
+	}
+}
+
+// give hands a shard over.
+func (m *model) give(k *Machine, to Member, leave, stateLost bool) {
+	if k.Epoch() != m.platform.Epoch || !k.Keeping(0, m.now) {
+		return
+	}
+	k.Release(0)
+	for _, o := range m.machines {
+		if o.Self.Is(to) && !stateLost {
+			o.Offer(0, k.Since(0))
+		}
+	}
+	if next, ok := m.platform.Give(k.Self, map[sqid.ShardID]Member{0: to}, leave, func(e Earlier) bool { return k.Closed(e, m.now) }); ok {
+		m.write(k, next, false)
+	}
+}
+
+func (m *model) restart(i int) {
+	m.lives++
+	m.machines[i] = &Machine{Self: member(i, m.lives), Terms: DefaultTerms()}
+}
+
+// keepers returns how many keep shard 0, and how many would without evidence.
+func (m *model) keepers() (fenced, unfenced int) {
+	for _, k := range m.machines {
+		if k.Keeping(0, m.now) {
+			fenced++
+		}
+		if from, ok := k.SpendFrom(0); ok && !m.now.Before(from) {
+			unfenced++
+		}
+	}
+	return fenced, unfenced
+}
+
+func (m *model) step(t *rapid.T) {
+	i := rapid.IntRange(0, len(m.machines)-1).Draw(t, "daemon")
+	o := rapid.IntRange(0, len(m.machines)-1).Draw(t, "other")
+	k := m.machines[i]
+	switch rapid.SampledFrom([]string{"wait", "wait", "read", "ask", "ask", "ask", "deliver", "deliver", "deliver", "deliver", "change", "change", "give", "restart", "tick"}).Draw(t, "action") {
+	case "wait":
+		m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{1, 300, 900, 2100, 4200, 700000}).Draw(t, "ms")) * time.Millisecond)
+	case "read":
+		m.read(k)
+	case "ask":
+		m.ask(k, o)
+	case "deliver":
+		if len(m.messages) > 0 {
+			j := rapid.IntRange(0, len(m.messages)-1).Draw(t, "message")
+			f := m.messages[j]
+			if rapid.IntRange(0, 3).Draw(t, "again") > 0 {
+				m.messages = slices.Delete(m.messages, j, j+1)
+			}
+			f()
+		}
+	case "change":
+		var alive []Member
+		for j, a := range m.machines {
+			if j == i || rapid.Bool().Draw(t, "alive") {
+				alive = append(alive, a.Self)
+			}
+		}
+		m.change(k, alive, rapid.IntRange(0, 3).Draw(t, "lost") == 0)
+	case "give":
+		if o != i {
+			m.give(k, m.machines[o].Self, rapid.Bool().Draw(t, "leave"), rapid.Bool().Draw(t, "stateLost"))
+		}
+	case "restart":
+		m.restart(i)
+	case "tick":
+		k.Tick(m.now)
+	}
+}
+
+// TestOneKeeperAtATime brings the machines into random states: never do two
+// keep a shard at once, though without evidence they would.
+func TestOneKeeperAtATime(t *testing.T) {
+	broken, moved := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.IntRange(1, 5).Draw(t, "daemons"))
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			m.step(t)
+			fenced, unfenced := m.keepers()
+			if fenced > 1 {
+				t.Fatalf("%d keepers", fenced)
+			}
+			if unfenced > 1 {
+				broken++
+			}
+			if fenced == 1 && m.platform.Holdings[0].Since > 1 {
+				moved++
+			}
+		}
+	})
+	t.Logf("two keepers without evidence at %d steps, one keeper after a move at %d", broken, moved)
+	qt.Check(t, broken > 0 && moved > 1000, qt.IsTrue)
+}
+
+// roster makes a fleet whose record has all daemons, with shard 0 at the first.
+func roster(n int) *model {
+	m := newModel(n)
+	if n > 1 {
+		var all []Member
+		for _, k := range m.machines {
+			all = append(all, k.Self)
+		}
+		m.change(m.machines[0], all, false)
+	}
+	for _, k := range m.machines {
+		k.Adopt(m.platform, m.now)
+	}
+	m.now = m.now.Add(time.Minute)
+	m.machines[0].PlatformRead(m.platform.Epoch, m.now, m.now)
+	return m
+}
+
+// TestRosters checks the rule for each size of roster in an outage of the
+// platform: with so many witnesses the keeper goes on, with fewer it stops; and
+// so many members must know of a successor's epoch.
+func TestRosters(t *testing.T) {
+	for _, tc := range []struct{ size, witnesses, blocking int }{{2, 1, 1}, {3, 1, 2}, {4, 2, 2}, {5, 2, 3}} {
+		c := qt.New(t)
+		m := roster(tc.size)
+		k := m.machines[0]
+		c.Check(k.Record().Roster.Blocking(), qt.Equals, tc.blocking)
+		for heard := range tc.witnesses + 1 {
+			m.now = m.now.Add(time.Minute)
+			c.Check(k.Keeping(0, m.now), qt.IsFalse)
+			for _, w := range m.machines[1 : heard+1] {
+				k.Heard(w.Self, w.Epoch(), m.now, m.now)
+			}
+			c.Check(k.Keeping(0, m.now), qt.Equals, heard == tc.witnesses, qt.Commentf("%d of %d", heard, tc.size))
+		}
+		m.now = m.now.Add(k.Terms.Fresh)
+		c.Check(k.Keeping(0, m.now), qt.IsFalse)
+	}
+}
+
+// TestRosterOfOne checks that it goes on for Solo without the platform, and
+// that a stranger waits for Solo but its own next life does not.
+func TestRosterOfOne(t *testing.T) {
+	c := qt.New(t)
+	m := roster(1)
+	k := m.machines[0]
+	c.Check(k.Keeping(0, m.now.Add(k.Terms.Solo-time.Second)), qt.IsTrue)
+	c.Check(k.Keeping(0, m.now.Add(k.Terms.Solo)), qt.IsFalse)
+	for _, next := range []Member{member(0, 2), member(1, 1)} {
+		s := &Machine{Self: next, Terms: DefaultTerms()}
+		r, ok := m.platform.Next(Changes{Alive: []Member{next}, Closed: func(Earlier) bool { return false }})
+		c.Assert(ok, qt.IsTrue)
+		s.Adopt(r, m.now)
+		wait := s.Terms.guard()
+		if next.Daemon != k.Self.Daemon {
+			wait += s.Terms.Solo + s.Terms.Drift
+			s.Tick(m.now.Add(s.Terms.Solo + s.Terms.Drift))
+		}
+		at := m.now.Add(wait)
+		s.PlatformRead(r.Epoch, at, at)
+		c.Check(s.Keeping(0, at.Add(-1)), qt.IsFalse)
+		c.Check(s.Keeping(0, at), qt.IsTrue)
+	}
+}
+
+// TestPause checks that a daemon which finds that it was paused has no fresh
+// evidence, however young.
+func TestPause(t *testing.T) {
+	c := qt.New(t)
+	m := roster(3)
+	k := m.machines[0]
+	k.Tick(m.now)
+	c.Check(k.Keeping(0, m.now.Add(k.Terms.Pause)), qt.IsTrue)
+	k.Tick(m.now.Add(k.Terms.Pause + time.Millisecond))
+	c.Check(k.Keeping(0, m.now.Add(k.Terms.Pause+time.Millisecond)), qt.IsFalse)
+}
