Settle a new fleet's ledger sooner, and be ready only then

Polls of the records come every 300 ms until the set is agreed, and readiness waits for that, at most 15 s.

--- a/internal/edge/sqdaemon/build.go
+++ b/internal/edge/sqdaemon/build.go
@@ -37,7 +37,8 @@
 
 // build makes the parts and subscribes the systems to the timer.
 func (d *Daemon) build() error {
-	d.incarnation = sqid.Incarnation(time.Now().UnixMilli())
+	d.began = time.Now()
+	d.incarnation = sqid.Incarnation(d.began.UnixMilli())
 	d.metrics = sqmetric.New()
 	d.pool = new(sqpeer.Pool)
 	d.platform = &sqplatform.Client{Addresses: d.Settings.PlatformAddresses, Metrics: d.metrics, Logger: d.Logger}
--- a/internal/edge/sqdaemon/daemon.go
+++ b/internal/edge/sqdaemon/daemon.go
@@ -29,6 +29,9 @@
 	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
 )
 
+// settleTimeout bounds the wait for the ledger at a start.
+const settleTimeout = 15 * time.Second
+
 // Daemon is one daemon of the fleet.
 type Daemon struct {
 	Settings sqsettings.Settings
@@ -38,6 +41,8 @@
 	metrics     *sqmetric.Set
 	timer       sqtimer.Service
 	stopping    atomic.Bool
+	began       time.Time
+	wasSettled  atomic.Bool
 
 	platform *sqplatform.Client
 	pool     *sqpeer.Pool
@@ -131,6 +136,16 @@
 	return err
 }
 
+// settled reports whether the ledger has been settled since the daemon began,
+// or is not to be waited for any longer: a data centre that is cut off at a
+// start serves what its share allows.
+func (d *Daemon) settled() bool {
+	if !d.wasSettled.Load() && (d.ledger.Settled() || time.Since(d.began) > settleTimeout) {
+		d.wasSettled.Store(true)
+	}
+	return d.wasSettled.Load()
+}
+
 // listsKnown reports whether this daemon has heard of any lists; a fleet to
 // which none have been given has empty ones.
 func (d *Daemon) listsKnown() bool {
@@ -144,6 +159,8 @@
 		return errors.New("stopping")
 	case !d.listsKnown():
 		return errors.New("the lists are not known yet")
+	case !d.settled():
+		return errors.New("the ledger is not settled yet")
 	case (lists{d}).Stale(time.Now()):
 		return errors.New("lists are stale")
 	}
--- a/internal/edge/sqledger/backup.go
+++ b/internal/edge/sqledger/backup.go
@@ -71,6 +71,16 @@
 	return newest
 }
 
+// Settled reports whether the data centre spends its whole share: all data
+// centres of the newest set that is known have agreed on it.
+func (l *Ledger) Settled() bool {
+	newest := l.Shares()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.records[l.DataCentre]
+	return r != nil && len(r.Shares) == 1 && r.NewestShares().Epoch == newest.Epoch
+}
+
 // errNotKept says that the daemon no longer keeps a shard.
 var errNotKept = errors.New("shard is not kept here")
 
--- a/internal/edge/sqledger/upkeep.go
+++ b/internal/edge/sqledger/upkeep.go
@@ -17,6 +17,9 @@
 	// pollPeriod is the period at which the first of a data centre reads the
 	// records of all.
 	pollPeriod = 2 * time.Second
+	// settlePoll is that period until the data centres have agreed on the set
+	// of shares: until then each spends the smallest share that it knows of.
+	settlePoll = 300 * time.Millisecond
 	// upkeepPeriod is the period at which a daemon looks whether its data
 	// centre's record should change.
 	upkeepPeriod = 250 * time.Millisecond
@@ -32,7 +35,7 @@
 	balancePeriod = 5 * time.Second
 	// settleIn is how long a daemon that has just started leaves the record as
 	// it is: it may not know yet who is alive.
-	settleIn = 3 * time.Second
+	settleIn = 1500 * time.Millisecond
 	// missingTerm is how long a member of the roster may be missing before its
 	// shards are taken over: it may only be suspect for a moment.
 	missingTerm = time.Second
@@ -57,7 +60,11 @@
 	}
 	d.balance.start(t, now, balancePeriod, func() { l.balance(ctx) })
 	if l.rank() == 0 {
-		d.poll.start(t, now, pollPeriod, func() { l.poll(ctx) })
+		period := pollPeriod
+		if !l.Settled() {
+			period = settlePoll
+		}
+		d.poll.start(t, now, period, func() { l.poll(ctx) })
 	}
 }
 
