--- a/internal/base/sqsettings/settings.go
+++ b/internal/base/sqsettings/settings.go
@@ -7,7 +7,9 @@
 	"cmp"
 	"fmt"
 	"os"
+	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -149,15 +151,30 @@
 	if missing, ok := errors.Into[*toml.StrictMissingError](err); ok {
 		var faults Faults
 		for i := range missing.Errors {
-			field := strings.Join(missing.Errors[i].Key(), ".")
+			field := fieldName(missing.Errors[i].Key())
 			faults = append(faults, Fault{File: file, Field: field, What: "unknown field"})
 		}
 		return faults
 	}
 	if bad, ok := errors.Into[*toml.DecodeError](err); ok {
 		row, column := bad.Position()
-		field := cmp.Or(strings.Join(bad.Key(), "."), "(syntax)")
+		field := cmp.Or(fieldName(bad.Key()), "(syntax)")
 		return Faults{{File: file, Field: field, What: fmt.Sprintf("line %d, column %d: %s", row, column, bad.Error())}}
 	}
 	return Faults{{File: file, Field: "(syntax)", What: err.Error()}}
 }
+
+// bareKey is a key that needs no quotes.
+var bareKey = regexp.MustCompile(`^[A-Za-z0-9_-]+$`)
+
+// fieldName returns a key as it may stand in a file, on one line.
+func fieldName(key toml.Key) string {
+	parts := make([]string, len(key))
+	for i, part := range key {
+		parts[i] = part
+		if !bareKey.MatchString(part) {
+			parts[i] = strconv.Quote(part)
+		}
+	}
+	return strings.Join(parts, ".")
+}
--- a/internal/state/sqlists/holder_test.go
+++ b/internal/state/sqlists/holder_test.go
@@ -121,3 +121,23 @@
 	}
 	qt.Assert(t, sqlists.Stale(time.Time{}, now, time.Hour), qt.IsTrue)
 }
+
+// FuzzFact checks that a holder takes a fact of another daemon whole or not
+// at all.
+func FuzzFact(f *testing.F) {
+	source := &sqlists.Holder{}
+	source.Apply(listsAt(5, "k"))
+	version, body := source.Fact()
+	f.Add(version, body)
+	f.Add(version+1, body)
+	f.Add(version, body[:len(body)-4])
+	f.Add(version, []byte("{}"))
+	f.Fuzz(func(t *testing.T, version uint64, body []byte) {
+		h := &sqlists.Holder{}
+		h.ApplyFact(version, body)
+		r := h.Revision()
+		qt.Assert(t, r == 0 || uint64(r) == version, qt.IsTrue)
+		qt.Assert(t, sqlists.Check(h.Accepted().Lists), qt.HasLen, 0)
+		h.ApplyEvidence(version, body)
+	})
+}
