Log an outage of the platform once, and open a failing watch less often

A watcher logged a line a second while the platform was out, and would have opened a refused watch ten times a second. Seen in the logs of three daemons.

--- a/internal/edge/sqplatform/client_test.go
+++ b/internal/edge/sqplatform/client_test.go
@@ -127,7 +127,7 @@
 	return sqplatform.Record{}
 }
 
-// testWatches checks order, deletions, compaction and restored older state.
+// testWatches checks order and deletions.
 func testWatches(t *testing.T, p sqplatform.Store, store *sqstore.Store) {
 	ctx := t.Context()
 	_, start, err := p.List(ctx, "w/")
@@ -158,7 +158,12 @@
 	})
 	qt.Assert(t, err, qt.ErrorIs, done)
 	qt.Assert(t, strings.Join(seen, " "), qt.Equals, "w/1=1 -w/1 w/2=2 -w/2")
+	testWatchEnds(t, p, store, start)
+}
 
+// testWatchEnds checks compaction, restored older state and a watch given up.
+func testWatchEnds(t *testing.T, p sqplatform.Store, store *sqstore.Store, start sqplatform.Version) {
+	ctx := t.Context()
 	store.Compact()
 	never := func(sqplatform.Event) error { return errors.New("no event was due") }
 	qt.Assert(t, p.Watch(ctx, "w/", start, never), qt.ErrorIs, sqplatform.ErrCompacted)
--- a/internal/state/sqlists/follow.go
+++ b/internal/state/sqlists/follow.go
@@ -38,6 +38,9 @@
 	PollEvery time.Duration
 	// Rand spreads the polls of daemons that began together; nil is random.
 	Rand *rand.Rand
+
+	// out is whether the last read failed.
+	out bool
 }
 
 // Run follows the head until ctx ends; its error is nil. A platform that is
@@ -50,7 +53,6 @@
 		}
 		version, err := f.read(ctx)
 		if err != nil {
-			f.Logger.Info("platform's lists can't be read", "error", err.Error())
 			_ = pause(ctx, f.jitter(dutyEvery))
 			continue
 		}
@@ -90,6 +92,7 @@
 
 // attend handles events, polls and duty until one of them ends the watch.
 func (f *Follower) attend(ctx context.Context, events <-chan sqplatform.Event, ended chan error) {
+	began := time.Now()
 	duty := time.NewTicker(dutyEvery)
 	defer duty.Stop()
 	poll := time.NewTimer(f.jitter(f.pollEvery()))
@@ -102,7 +105,7 @@
 		case err = <-ended:
 			ended <- err
 			f.Logger.V(1).Info("watch of the lists ended", "error", err.Error())
-			_ = pause(ctx, f.jitter(retryDelay))
+			_ = pause(ctx, f.jitter(afterWatch(time.Since(began))))
 			return
 		case e := <-events:
 			err = f.event(ctx, e)
@@ -115,13 +118,21 @@
 			}
 		}
 		if err != nil {
-			f.Logger.Info("platform's lists can't be read", "error", err.Error())
 			_ = pause(ctx, f.jitter(dutyEvery))
 			return
 		}
 	}
 }
 
+// afterWatch returns how long to wait before a new watch after one that lasted
+// for d.
+func afterWatch(d time.Duration) time.Duration {
+	if d < dutyEvery {
+		return dutyEvery
+	}
+	return retryDelay
+}
+
 // event applies the head of a watch's event. An event may be late: one that
 // is older than the lists in force says nothing.
 func (f *Follower) event(ctx context.Context, e sqplatform.Event) error {
@@ -138,6 +149,7 @@
 	held := f.Holder.Accepted()
 	began := time.Now()
 	a, version, err := records{f.Store}.newest(ctx, held)
+	f.tell(ctx, err)
 	if err != nil {
 		return 0, err
 	}
@@ -156,6 +168,18 @@
 	return version, nil
 }
 
+// tell logs when reading begins to fail, and when it works again.
+func (f *Follower) tell(ctx context.Context, err error) {
+	switch {
+	case err != nil && !f.out && ctx.Err() == nil:
+		f.out = true
+		f.Logger.Error(err, "platform's lists can't be read")
+	case err == nil && f.out:
+		f.out = false
+		f.Logger.Info("platform's lists are read again")
+	}
+}
+
 // older tells of a platform that came back older, and has it repaired.
 func (f *Follower) older(ctx context.Context, a *Accepted) {
 	f.Holder.ignore(IgnoredOlder, a.Head.Revision, nil)
