Log which operator's key made a change, by its digest

A change that surprises needs its author; the digest is in the settings beside whoever holds the key, and the key itself is nowhere. A body that is too large is told its limit.

--- a/internal/edge/sqadmin/lists.go
+++ b/internal/edge/sqadmin/lists.go
@@ -46,17 +46,17 @@
 	}
 	revision, err := s.Acceptor.Put(r.Context(), kindOf(r), match, body)
 	if err != nil {
-		s.putProblem(w, err)
+		s.putProblem(w, r, err)
 		return
 	}
-	s.Logger.Info("change accepted", "list", kindOf(r), "revision", revision)
+	s.Logger.Info("change accepted", "list", kindOf(r), "revision", revision, "operator", digestOf(r))
 	w.Header().Set("ETag", etag(revision))
 	w.Header().Set(sqproblem.RunHeader, squnit.RunDone.String())
 	writeJSON(w, Accepted{Revision: revision})
 }
 
 // putProblem answers with what became of a change.
-func (s *Server) putProblem(w http.ResponseWriter, err error) {
+func (s *Server) putProblem(w http.ResponseWriter, r *http.Request, err error) {
 	p := s.problem(http.StatusInternalServerError, err)
 	var conflict *sqlists.ConflictError
 	var faults sqlists.Faults
@@ -74,7 +74,7 @@
 		p.Run = squnit.RunUnknown.String()
 	}
 	if p.Status >= http.StatusInternalServerError {
-		s.Logger.Error(err, "change failed", "status", p.Status, "run", p.Run)
+		s.Logger.Error(err, "change failed", "list", kindOf(r), "run", p.Run, "operator", digestOf(r))
 	}
 	p.Write(w)
 }
@@ -137,7 +137,7 @@
 	}
 	status := http.StatusBadRequest
 	if _, large := errors.Into[*http.MaxBytesError](err); large {
-		status = http.StatusRequestEntityTooLarge
+		status, err = http.StatusRequestEntityTooLarge, errors.Errorf("body is larger than %d bytes", limit)
 	}
 	s.problem(status, err).Write(w)
 	return nil, false
--- a/internal/edge/sqadmin/server.go
+++ b/internal/edge/sqadmin/server.go
@@ -98,15 +98,23 @@
 	}
 }
 
-func (s *Server) authenticate(r *http.Request) sqreason.Refusal {
+// digestOf returns the digest of a request's key, empty if there is none.
+func digestOf(r *http.Request) sqid.KeyDigest {
 	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return ""
+	}
+	return sqid.DigestKey(key)
+}
+
+func (s *Server) authenticate(r *http.Request) sqreason.Refusal {
+	digest := digestOf(r)
+	if digest == "" {
 		return sqreason.KeyMissing
 	}
-	digest := []byte(sqid.DigestKey(key))
 	known := 0
 	for _, d := range s.KeyDigests {
-		known |= subtle.ConstantTimeCompare(digest, []byte(d))
+		known |= subtle.ConstantTimeCompare([]byte(digest), []byte(d))
 	}
 	if known == 0 {
 		return sqreason.KeyUnknown
