Say that the rate of open routes has no effect

The entry charges no request without a key. Ruled out: refusing a rate on the plan named everyone, since the list's format gives every plan one.

--- a/internal/state/sqlists/check.go
+++ b/internal/state/sqlists/check.go
@@ -43,8 +43,8 @@
 // Check returns every fault of lists, nil if there is none.
 //
 // A plan needs a positive rate and a burst of at least one request. The plan
-// named everyone may leave both out: requests on open routes then count
-// against no rate. A workspace can't hold it.
+// named everyone may leave both out, since requests on open routes count
+// against no rate; both have no effect there. A workspace can't hold it.
 func Check(l Lists) Faults {
 	return check(l, true)
 }
