--- a/internal/edge/sqgossip/transport.go
+++ b/internal/edge/sqgossip/transport.go
@@ -118,7 +118,7 @@
 		return conn.Close()
 	})
 	err = g.Wait()
-	t.set(nil, nil)
+	t.set(ctx, nil)
 	t.calls.Wait()
 	return err
 }
