--- a/internal/state/sqmember/member.go
+++ b/internal/state/sqmember/member.go
@@ -84,10 +84,12 @@
 	repair  repairer
 	facts   facts
 
-	hinted   map[sqid.DaemonID]time.Time
-	leaving  bool
-	replaced sqid.Incarnation
-	off      switches
+	hinted map[sqid.DaemonID]time.Time
+	// announced is set once this daemon has told others of itself.
+	announced bool
+	leaving   bool
+	replaced  sqid.Incarnation
+	off       switches
 }
 
 // switches turn mechanisms off, to show in tests what they are for.
--- a/internal/state/sqmember/repair.go
+++ b/internal/state/sqmember/repair.go
@@ -201,6 +201,10 @@
 	for _, f := range reply.GetFacts() {
 		m.acceptFact(f, src)
 	}
+	if !m.announced {
+		m.announced = true
+		m.spreadRow(m.self, "", source{from: m.self.ID})
+	}
 	var lacking []*sqmemberwire.Row
 	for _, w := range m.rowsIn(reply.GetBuckets()) {
 		r := rowOf(w)
