--- a/internal/policy/sqadmit/gate_test.go
+++ b/internal/policy/sqadmit/gate_test.go
@@ -19,7 +19,6 @@
 type machine struct {
 	gate    Gate
 	now     time.Time
-	calls   map[sqid.CallID]Call
 	running []sqid.CallID
 	waiting map[sqid.CallID]Call
 	offered int
--- a/internal/policy/sqroute/router.go
+++ b/internal/policy/sqroute/router.go
@@ -100,17 +100,21 @@
 		if row.Draining || slices.Contains(req.Exclude, row.ID) {
 			continue
 		}
-		t := r.targets[row.ID]
+		t := s.order[i]
 		if t.ejected(now) || now.Before(t.avoid) || !t.warm(now, rng) {
 			spare[r.tier(row)].add(rng, row, t)
 			continue
 		}
 		ready[r.tier(row)].add(rng, row, t)
 	}
-	if c := r.choose(now, &ready, req); c.Reason == sqreason.NoReason {
+	c := r.choose(now, &ready, req)
+	if c.Reason == sqreason.NoReason {
 		return c
 	}
-	return r.choose(now, &spare, req)
+	if second := r.choose(now, &spare, req); second.Reason != sqreason.TargetNone {
+		return second
+	}
+	return c
 }
 
 // choose takes the nearest tier that has a target with capacity, or failing
@@ -196,6 +200,7 @@
 		if t.inFlight == 0 && now.Sub(t.seen) > forgetAfter {
 			delete(r.targets, id)
 			delete(t.service.targets, id)
+			t.service.order = nil
 		}
 	}
 }
@@ -233,18 +238,24 @@
 	return s
 }
 
-// see makes sure that each row has its statistics, anew for a new life of its
-// daemon, and returns how many targets are not draining.
+// see makes sure that each row has its statistics in the service's order, anew
+// for a new life of its daemon, and returns how many targets are not draining.
 func (r *Router) see(now time.Time, s *service, rows []sqtarget.Row) int {
 	open := 0
 	for i := range rows {
 		row := &rows[i]
-		t := r.targets[row.ID]
+		if i == len(s.order) {
+			s.order = append(s.order, nil)
+		}
+		t := s.order[i]
+		// The rows mostly come in the same order, which saves the look-up.
+		if t == nil || t.id != row.ID {
+			t = r.targets[row.ID]
+		}
 		if t == nil || t.incarnation != row.Incarnation {
-			t = &target{service: s, first: now, incarnation: row.Incarnation, slots: float64(max(1, row.Slots))}
-			r.targets[row.ID] = t
-			s.targets[row.ID] = t
+			t = r.addTarget(now, s, row)
 		}
+		s.order[i] = t
 		t.seen = now
 		if !row.Draining {
 			open++
@@ -252,3 +263,13 @@
 	}
 	return open
 }
+
+func (r *Router) addTarget(now time.Time, s *service, row *sqtarget.Row) *target {
+	t := &target{
+		id: row.ID, service: s, incarnation: row.Incarnation, slots: float64(max(1, row.Slots)),
+		first: now, started: now.Sub(s.first) < slowStart,
+	}
+	r.targets[row.ID] = t
+	s.targets[row.ID] = t
+	return t
+}
--- a/internal/policy/sqroute/target.go
+++ b/internal/policy/sqroute/target.go
@@ -40,12 +40,15 @@
 
 // target is what answers have shown of one target.
 type target struct {
+	id          sqtarget.ID
 	service     *service
 	incarnation sqid.Incarnation
 	slots       float64
 	first       time.Time
-	seen        time.Time
-	inFlight    int
+	// started is set once the target gets its full part of the calls.
+	started  bool
+	seen     time.Time
+	inFlight int
 	// latency is in seconds, fails a part of the calls, shed the reported
 	// level with its part that is shed.
 	latency float64
@@ -64,6 +67,8 @@
 type service struct {
 	first   time.Time
 	targets map[sqtarget.ID]*target
+	// order holds the targets in the order of the rows of the last pick.
+	order []*target
 	// open is the number of targets that are not draining.
 	open  int
 	usual float64
@@ -124,8 +129,12 @@
 
 // warm draws whether a target that is new to its service gets this call.
 func (t *target) warm(now time.Time, rng *rand.Rand) bool {
+	if t.started {
+		return true
+	}
 	age := now.Sub(t.first)
-	if age >= slowStart || t.first.Sub(t.service.first) < slowStart {
+	if age >= slowStart {
+		t.started = true
 		return true
 	}
 	part := slowStartPart + (1-slowStartPart)*float64(age)/float64(slowStart)
