--- a/internal/edge/sqledger/ledger_test.go
+++ b/internal/edge/sqledger/ledger_test.go
@@ -18,6 +18,7 @@
 type tally struct {
 	sent, admitted, refused, failed int
 	wrongly                         int
+	wait, longest                   time.Duration
 }
 
 // drive sends Poisson charges of a workspace, each through one of the entries,
@@ -26,34 +27,26 @@
 	var t tally
 	ideal := sqlimit.Bucket{Capacity: plan, Tokens: plan.Burst, Time: time.Now()}
 	end, done := time.Now().Add(span), make(chan bool, 1<<16)
-	next := time.Now()
-	for {
-		next = next.Add(time.Duration(f.loads.ExpFloat64() / load * float64(time.Second)))
+	group := max(1, f.group)
+	for next := time.Now(); ; {
+		next = next.Add(time.Duration(f.loads.ExpFloat64() * float64(group) / load * float64(time.Second)))
 		if next.After(end) {
 			break
 		}
 		time.Sleep(time.Until(next))
-		ideal.Advance(time.Now())
-		within := ideal.Take(1)
-		n := entry()
-		t.sent++
-		go func() {
-			d, err := n.Charge(f.ctx, w)
-			f.mu.Lock()
-			switch {
-			case err != nil:
-				t.failed++
-			case d.Admitted:
-				t.admitted++
-			default:
-				t.refused++
+		for range group {
+			n := entry()
+			if n == nil {
+				continue
 			}
-			if within && !d.Admitted {
-				t.wrongly++
-			}
-			f.mu.Unlock()
-			done <- true
-		}()
+			t.sent++
+			ideal.Advance(time.Now())
+			within := ideal.Take(1)
+			go func() {
+				f.charge(&t, n, w, within)
+				done <- true
+			}()
+		}
 	}
 	for range t.sent {
 		<-done
@@ -61,8 +54,30 @@
 	return t
 }
 
+// charge sends one charge and counts its outcome.
+func (f *fleet) charge(t *tally, n *node, w sqid.WorkspaceID, within bool) {
+	sent := time.Now()
+	d, err := n.Charge(f.ctx, w)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.wait += time.Since(sent)
+	t.longest = max(t.longest, time.Since(sent))
+	switch {
+	case err != nil:
+		t.failed++
+	case d.Admitted:
+		t.admitted++
+	default:
+		t.refused++
+	}
+	if within && !d.Admitted {
+		t.wrongly++
+	}
+}
+
 func (f *fleet) anyEntry() *node {
-	return f.nodes[f.names[f.loads.IntN(len(f.names))]]
+	names := f.known()
+	return f.node(names[f.loads.IntN(len(names))])
 }
 
 func plan(name string, rate, burst float64) sqlists.Plan {
@@ -92,8 +107,8 @@
 
 // keeperOf returns the daemon that keeps a workspace in a data centre.
 func (f *fleet) keeperOf(dc sqid.DataCentreID, w sqid.WorkspaceID) string {
-	for _, name := range f.names {
-		n := f.nodes[name]
+	for _, name := range f.known() {
+		n := f.node(name)
 		if n.dc == dc && !n.isDead() && n.Keeping(sqkeeper.Shard(string(w)), time.Now()) {
 			return name
 		}
@@ -113,12 +128,12 @@
 		for range 2 {
 			name := f.keeperOf("dc00", "shop")
 			c.Assert(name, qt.Not(qt.Equals), "")
-			others := slices.DeleteFunc(slices.Clone(f.names), func(o string) bool { return o == name || f.nodes[o].isDead() })
+			others := slices.DeleteFunc(f.known(), func(o string) bool { return o == name || f.node(o).isDead() })
 			go func() {
 				time.Sleep(2 * time.Second)
 				c.Check(f.stop(name), qt.IsNil)
 			}()
-			got := f.drive("shop", size, 90, 5*time.Second, func() *node { return f.nodes[others[f.loads.IntN(len(others))]] })
+			got := f.drive("shop", size, 90, 5*time.Second, func() *node { return f.node(others[f.loads.IntN(len(others))]) })
 			t.Logf("%+v", got)
 			c.Check(got.failed+got.wrongly, qt.Equals, 0)
 		}
@@ -138,9 +153,9 @@
 				f.startAll(1, 3)
 				time.Sleep(15 * time.Second)
 				name := f.keeperOf("dc00", "shop")
-				entry := f.nodes[f.names[0]]
+				entry := f.node(f.known()[0])
 				if entry.Self.Daemon == sqid.DaemonID(name) {
-					entry = f.nodes[f.names[1]]
+					entry = f.node(f.known()[1])
 				}
 				began := time.Now()
 				if fault == "pause" {
