--- a/internal/standin/sqstore/store.go
+++ b/internal/standin/sqstore/store.go
@@ -230,7 +230,7 @@
 	s.changed = make(chan struct{})
 }
 
-// version returns the platform's form of a record.
+// platform returns the record as a daemon sees it.
 func (r record) platform() sqplatform.Record {
 	return sqplatform.Record{Key: r.key, Value: slices.Clone(r.value), Version: sqplatform.Version(r.modified)}
 }
--- a/internal/state/sqlists/follow.go
+++ b/internal/state/sqlists/follow.go
@@ -44,7 +44,7 @@
 }
 
 // Run follows the head until ctx ends; its error is nil. A platform that is
-// out is tried again at each poll.
+// out is tried again about every second.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if !f.Watching() {
