Hold the targets at small sizes too: faster cold start, typical share

A cold limit now grows with each turn of its slots, by one at least, and its latencies are compared by their standard errors. Answers now carry the share of the median workspace at the level for those not heard of (wire: typical in Load and ServiceLevel; without it, as before).

--- a/internal/policy/sqadmit/call.go
+++ b/internal/policy/sqadmit/call.go
@@ -92,11 +92,12 @@
 	// those above it are.
 	Level squnit.Importance
 	// Share is the part of the workspace's calls of importance Level that
-	// there is room for, All that of all workspaces'.
-	Share, All squnit.Share
-	InFlight   int
-	Limit      int
-	Queued     int
+	// there is room for, All that of all workspaces' together, and Typical
+	// that of the median workspace.
+	Share, All, Typical squnit.Share
+	InFlight            int
+	Limit               int
+	Queued              int
 	// Usual is the usual time of a call, 0 if none has ended.
 	Usual time.Duration
 }
--- a/internal/policy/sqadmit/demand.go
+++ b/internal/policy/sqadmit/demand.go
@@ -49,8 +49,10 @@
 	classes map[classKey]*class
 	// level is the lowest importance with room, all the part of its calls
 	// that there is room for.
-	level   squnit.Importance
-	all     float64
+	level squnit.Importance
+	all   float64
+	// typical is the median of the workspaces' shares at the level.
+	typical float64
 	scratch []*class
 }
 
@@ -100,7 +102,7 @@
 // divide sets each class's share of a capacity in calls a second.
 func (d *demand) divide(now time.Time, span time.Duration, capacity float64) {
 	d.collect(now, span)
-	d.level, d.all = squnit.ImportanceCritical, 1
+	d.level, d.all, d.typical = squnit.ImportanceCritical, 1, 1
 	for rest := d.scratch; len(rest) > 0; {
 		n := 1
 		for n < len(rest) && rest[n].key.importance == rest[0].key.importance {
@@ -111,16 +113,22 @@
 		}
 		left, all := fill(rest[:n], capacity)
 		if capacity > 0 || n == len(d.scratch) {
-			d.all = all
+			d.all, d.typical = all, median(rest[:n])
 		}
 		capacity = left
 		rest = rest[n:]
 	}
 	if capacity > 0 {
-		d.level, d.all = squnit.ImportanceLow, 1
+		d.level, d.all, d.typical = squnit.ImportanceLow, 1, 1
 	}
 }
 
+// median is the median share of classes that fill has divided: it gives less
+// of their demand to later ones.
+func median(classes []*class) float64 {
+	return classes[len(classes)/2].share
+}
+
 // collect brings all classes to now and orders them by importance, then by
 // rate for weight.
 func (d *demand) collect(now time.Time, span time.Duration) {
@@ -167,7 +175,7 @@
 
 // admitAll sets every share to 1.
 func (d *demand) admitAll() {
-	d.level, d.all = squnit.ImportanceLow, 1
+	d.level, d.all, d.typical = squnit.ImportanceLow, 1, 1
 	for _, c := range d.classes {
 		c.share = 1
 	}
--- a/internal/policy/sqadmit/gate.go
+++ b/internal/policy/sqadmit/gate.go
@@ -190,6 +190,7 @@
 		Level:    g.demand.level,
 		Share:    squnit.Share(g.demand.share(w)),
 		All:      squnit.Share(g.demand.all),
+		Typical:  squnit.Share(g.demand.typical),
 		InFlight: len(g.running),
 		Limit:    g.limit.Slots(),
 		Queued:   len(g.queue.waiters),
@@ -273,7 +274,7 @@
 		return Drop{}, false
 	}
 	i := g.queue.worst(now)
-	if len(g.queue.waiters) <= underWayFactor*bound && g.queue.waiters[i].Depth > 0 {
+	if len(g.queue.waiters) <= g.calls(underWayFactor) && g.queue.waiters[i].Depth > 0 {
 		return Drop{}, false
 	}
 	reason := g.queue.why(i)
@@ -305,12 +306,18 @@
 	return seconds(g.usual)
 }
 
-func (g *Gate) bound() int {
+// bound is the longest queue of new calls.
+func (g *Gate) bound() int { return g.calls(1) }
+
+// calls is the number of calls that the target ends in n times queueTime, but
+// no more than n times as many as it runs at once.
+func (g *Gate) calls(n float64) int {
 	slots := float64(g.limit.Slots())
-	if g.usual > queueTime.Seconds() {
-		slots *= queueTime.Seconds() / g.usual
+	turns := n
+	if g.usual > 0 {
+		turns = min(n, n*queueTime.Seconds()/g.usual)
 	}
-	return min(maxQueue, max(minQueue, int(slots)))
+	return min(maxQueue, max(minQueue, int(slots*turns)))
 }
 
 func seconds(s float64) time.Duration {
--- a/internal/policy/sqadmit/limit.go
+++ b/internal/policy/sqadmit/limit.go
@@ -46,11 +46,18 @@
 	// is slower and was not full, and of one that is faster.
 	riseGain = 0.1
 	fallGain = 0.3
-	// minSamples is the least number of calls in a window, fewSamples that for
-	// a cold target and after maxWindow.
-	minSamples = 60
-	fewSamples = 40
-	maxWindow  = time.Second
+	// clearRise is the rise, as part of that of the limit, up to which the limit
+	// is clearly not too high; latencyErrors is the number of standard errors
+	// by which a rise must be beyond queueingRise.
+	clearRise     = 0.35
+	latencyErrors = 2
+	// minSamples is the least number of calls in a window, fewSamples that
+	// after maxWindow, and coldSamples that for a cold target. There is at
+	// least one for each call in flight.
+	minSamples  = 60
+	fewSamples  = 15
+	coldSamples = 4
+	maxWindow   = time.Second
 )
 
 // Limit is the number of calls that a target may have in flight. It starts
@@ -70,8 +77,10 @@
 	announced float64
 	// ceiling is the limit that was last found to be too high.
 	ceiling float64
-	// base is the latency with few calls in flight, in seconds.
+	// base is the latency with few calls in flight, in seconds, learnt from
+	// the number of calls seen.
 	base   float64
+	seen   float64
 	cold   bool
 	window window
 	anchor anchor
@@ -86,12 +95,20 @@
 	start    time.Time
 	samples  int
 	latency  float64
+	squares  float64
 	inFlight float64
 }
 
+// variance is that of the mean latency.
+func (w *window) variance() float64 {
+	n := float64(w.samples)
+	mean := w.latency / n
+	return math.Max(0, w.squares/n-mean*mean) / n
+}
+
 // anchor is a limit that was full, with its latency.
 type anchor struct {
-	limit, latency float64
+	limit, latency, variance float64
 	// doubted is set if one window beyond it was too slow.
 	doubted bool
 }
@@ -133,20 +150,29 @@
 	w := &l.window
 	w.samples++
 	w.latency += own
+	w.squares += own * own
 	w.inFlight += float64(inFlight)
 	l.slope.add(started, own)
 	if l.slope.n >= slopeSamples {
 		l.closeSlope()
 	}
-	need := minSamples
-	if l.cold || now.Sub(w.start) > maxWindow {
-		need = fewSamples
-	}
-	if w.samples >= max(need, l.Slots()) {
+	if w.samples >= max(l.need(now), l.Slots()) {
 		l.closeWindow(now)
 	}
 }
 
+// need is the least number of samples that end the window.
+func (l *Limit) need(now time.Time) int {
+	switch {
+	case l.cold:
+		return coldSamples
+	case now.Sub(l.window.start) > maxWindow:
+		return fewSamples
+	default:
+		return minSamples
+	}
+}
+
 // cut lowers the limit below the calls in flight, once in each usual time.
 func (l *Limit) cut(now time.Time, inFlight int) {
 	if now.Sub(l.cutAt) <= seconds(l.base) {
@@ -181,39 +207,48 @@
 	l.window = window{start: now}
 	n := float64(w.samples)
 	latency, full := w.latency/n, w.inFlight/n >= fullPart*float64(l.Slots())
-	l.learnBase(latency, full)
+	l.learnBase(n, latency, full)
 	switch {
 	case l.limit > l.announced && latency > badLatency*l.base:
 		l.limit = math.Max(l.announced, l.limit-1)
 	case !full || l.queueing || l.limit >= excessFactor*l.announced:
 	case l.limit < l.announced || latency < goodLatency*l.base:
-		l.probe(latency)
+		l.probe(latency, w.variance())
 	}
 }
 
-func (l *Limit) learnBase(latency float64, full bool) {
+// learnBase moves the baseline: at first to the mean of all calls, then by
+// windows, in proportion to their calls.
+func (l *Limit) learnBase(n, latency float64, full bool) {
+	part := math.Min(1, n/minSamples)
+	l.seen += n
 	switch {
-	case l.base == 0:
-		l.base = latency
+	case l.seen <= 2*minSamples:
+		l.base += n / l.seen * (latency - l.base)
 	case latency < l.base:
-		l.base += fallGain * (latency - l.base)
+		l.base += fallGain * part * (latency - l.base)
 	case !l.queueing && (!full || l.limit <= l.announced/2):
-		l.base += riseGain * (latency - l.base)
+		l.base += riseGain * part * (latency - l.base)
 	}
 }
 
-// probe lets a full limit grow, unless the latency has grown with it.
-func (l *Limit) probe(latency float64) {
-	if l.anchor.limit == 0 || l.limit < l.anchor.limit {
-		l.anchor = anchor{limit: l.limit, latency: latency}
+// probe lets a full limit grow, unless the latency has grown with it since the
+// anchor.
+func (l *Limit) probe(latency, variance float64) {
+	a := &l.anchor
+	if a.limit == 0 || l.limit < a.limit {
+		*a = anchor{limit: l.limit, latency: latency, variance: variance}
 	}
-	if step := l.limit / l.anchor.limit; step >= anchorStep {
-		rise := latency / l.anchor.latency
-		if rise > 1+queueingRise*(step-1) && rise < step*otherRise {
+	if step := l.limit / a.limit; step >= anchorStep {
+		rise := latency / a.latency
+		noise := latencyErrors * math.Sqrt(a.variance+variance) / a.latency
+		switch {
+		case rise > step*otherRise+noise || rise < 1+clearRise*(step-1):
+			*a = anchor{limit: l.limit, latency: latency, variance: variance}
+		case rise > 1+queueingRise*(step-1)+noise:
 			l.doubt()
 			return
 		}
-		l.anchor = anchor{limit: l.limit, latency: latency}
 	}
 	l.grow()
 }
@@ -236,7 +271,7 @@
 		l.limit += math.Max(minGrowth, l.limit*cautiousPart)
 		l.ceiling = math.Max(l.ceiling, l.limit)
 	case l.cold:
-		l.limit = math.Min(l.announced, l.limit*coldGrowth)
+		l.limit = math.Min(l.announced, math.Max(l.limit+1, l.limit*coldGrowth))
 	default:
 		l.limit = math.Min(l.announced, l.limit+math.Max(minGrowth, l.limit*warmPart))
 	}
--- a/internal/policy/sqchain/model_test.go
+++ b/internal/policy/sqchain/model_test.go
@@ -332,7 +332,7 @@
 
 // learn keeps what an answer says of the room at its gate and below.
 func (s *sim) learn(c *call, host *daemon, load sqadmit.Load) {
-	room := sqshed.Room{Service: host.row.Service, Level: load.Level, Share: load.Share, All: load.All}
+	room := sqshed.Room{Service: host.row.Service, Level: load.Level, Share: load.Share, All: load.All, Typical: load.Typical}
 	if c.parent == nil {
 		c.entry.shed.Learn(s.now(), c.req.class, room, c.below.Rooms())
 		return
--- a/internal/policy/sqshed/table.go
+++ b/internal/policy/sqshed/table.go
@@ -51,11 +51,21 @@
 func (c Class) route() Class { return Class{Service: c.Service, Route: c.Route} }
 
 // Room is what a gate of a service has room for: all calls above Level, and of
-// those at Level the part Share of the workspace's, and the part All of all.
+// those at Level the part Share of the workspace's, All of all together, and
+// Typical of the median workspace's; a Typical of 0 stands for All.
 type Room struct {
 	Service    sqid.ServiceID
 	Level      squnit.Importance
 	Share, All squnit.Share
+	Typical    squnit.Share
+}
+
+// ratio is how much more is shed of a workspace with a share than of all.
+func (r *Room) ratio(share squnit.Share) float64 {
+	if r.All >= 1 || share == 0 {
+		return 1
+	}
+	return max(0, float64(1-share)/float64(1-r.All))
 }
 
 // cut is the room on the scale of importance, for all workspaces together.
@@ -88,7 +98,8 @@
 }
 
 // claim is how much more is shed of a workspace than of all, at the level
-// where only a part is: 0 is nothing, 1 as much as of all.
+// where only a part is: 0 is nothing, 1 as much as of all. The claim of no
+// workspace is the typical one, for those that have not been heard of.
 type claim struct {
 	at    time.Time
 	ratio float64
@@ -115,7 +126,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	value := t.learnCut(now, c.route(), room, below)
-	if value > 0 && room.All < 1 && c.Workspace != "" {
+	if value <= 0 || room.All >= 1 {
+		return
+	}
+	t.learnClaim(now, c.route(), room.ratio(room.Typical))
+	if c.Workspace != "" {
 		t.learnClaim(now, c, float64(1-room.Share)/float64(1-room.All))
 	}
 }
@@ -192,6 +207,8 @@
 	ratio := 1.0
 	if own, known := t.claims[c]; known {
 		ratio = own.ratio
+	} else if typical, known := t.claims[c.route()]; known {
+		ratio = typical.ratio
 	}
 	share := min(1, max(0, float64(i)+1-k.forClaim(now, ratio)))
 	if rng.Float64() < share {
