--- a/internal/policy/sqchain/experiment_test.go
+++ b/internal/policy/sqchain/experiment_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -227,24 +226,27 @@
 			t.Parallel()
 			qt.Assert(t, bounds[e.title], qt.Not(qt.HasLen), 0)
 			for _, p := range policies {
-				if only := os.Getenv("POLICY"); only != "" && only != p.name {
-					continue
-				}
-				runs := make([]figures, len(seeds))
-				for i, seed := range seeds {
-					runs[i] = measure(p, e, seed)
-				}
-				t.Logf("%-6s%s", p.name, table(runs))
-				for _, b := range bounds[e.title] {
-					if b.policy == p.name {
-						t.Run(p.name+"-"+b.figure, func(t *testing.T) { check(t, b, runs) })
-					}
-				}
+				t.Run(p.name, func(t *testing.T) { compare(t, p, e, bounds[e.title]) })
 			}
 		})
 	}
 }
 
+// compare runs an experiment under a policy in every seed, prints the figures
+// and checks the bounds of that policy.
+func compare(t *testing.T, p policy, e experiment, bounds []bound) {
+	runs := make([]figures, len(seeds))
+	for i, seed := range seeds {
+		runs[i] = measure(p, e, seed)
+	}
+	t.Logf("%-6s%s", p.name, table(runs))
+	for _, b := range bounds {
+		if b.policy == p.name {
+			t.Run(b.figure, func(t *testing.T) { check(t, b, runs) })
+		}
+	}
+}
+
 // check asserts a bound in every seed.
 func check(t *testing.T, b bound, runs []figures) {
 	for i, r := range runs {
