Carry the typical share over the wire, and tell the router why a call ended

Additive in sqentry and sqgate: the field typical in both directions; a caller who left is Cancelled and a place that is leaving or unreachable is Unreachable for sqroute. Both were Failed before, so that impatient callers and a drain could eject a healthy target. Below.Rooms returns a copy, since a nested answer may come while the call's own answer is built. No test of the edge drives this yet; what is behind it is tested in sqroute and sqshed.

--- a/internal/edge/sqentry/router.go
+++ b/internal/edge/sqentry/router.go
@@ -76,6 +76,7 @@
 	own := sqshed.Room{
 		Service: q.service, Level: squnit.Importance(l.GetLevel()),
 		Share: squnit.Share(1 - l.GetShed()), All: squnit.Share(1 - l.GetShedAll()),
+		Typical: squnit.Share(l.GetTypical()),
 	}
 	deeper := roomsOf(l)
 	if q.parent != nil {
@@ -89,7 +90,11 @@
 	switch {
 	case refusal == nil:
 		return sqadmit.OK
-	case refusal.Run == squnit.RunNot && !leaving(refusal.Reason):
+	case refusal.Reason == sqreason.CallerGone:
+		return sqadmit.Cancelled
+	case refusal.Run == squnit.RunNot && leaving(refusal.Reason):
+		return sqadmit.Unreachable
+	case refusal.Run == squnit.RunNot:
 		return sqadmit.Shed
 	default:
 		return sqadmit.Failed
@@ -113,6 +118,7 @@
 		rooms = append(rooms, sqshed.Room{
 			Service: sqid.ServiceID(d.GetService()), Level: squnit.Importance(d.GetLevel()),
 			Share: squnit.Share(1 - d.GetShed()), All: squnit.Share(1 - d.GetShedAll()),
+			Typical: squnit.Share(d.GetTypical()),
 		})
 	}
 	return rooms
--- a/internal/edge/sqgate/exchange.go
+++ b/internal/edge/sqgate/exchange.go
@@ -216,6 +216,7 @@
 	for _, r := range x.call.Rooms() {
 		l.Deeper = append(l.Deeper, &sqcallwire.ServiceLevel{
 			Service: string(r.Service), Level: uint32(r.Level), Shed: float64(1 - r.Share), ShedAll: float64(1 - r.All),
+			Typical: float64(r.Typical),
 		})
 	}
 	return l
--- a/internal/policy/sqshed/below.go
+++ b/internal/policy/sqshed/below.go
@@ -1,5 +1,7 @@
 package sqshed
 
+import "slices"
+
 // maxRooms bounds the rooms that one answer carries.
 const maxRooms = 8
 
@@ -46,7 +48,7 @@
 	}
 }
 
-// Rooms returns what was collected.
+// Rooms returns a copy of what was collected.
 func (b *Below) Rooms() []Room {
-	return b.rooms
+	return slices.Clone(b.rooms)
 }
