--- a/internal/edge/sqclaim/books.go
+++ b/internal/edge/sqclaim/books.go
@@ -96,7 +96,6 @@
 	shards [sqoperation.Shards]shard
 	once   sync.Once
 	dial   func(address string) (sqclaimwire.ClaimsClient, error)
-	duty   sync.Mutex
 }
 
 // shard is the book of one shard, if this daemon keeps it, and the copy of
