--- a/internal/policy/sqadmit/limit_test.go
+++ b/internal/policy/sqadmit/limit_test.go
@@ -32,16 +32,16 @@
 	return last
 }
 
-// settle runs calls through a target with real slots and a queue in order of
+// settle runs calls through a target with slots of its own and a queue in order of
 // arrival, as many as the limit allows and the load brings, and returns the
 // mean limit over the last half of the time.
-func settle(l *Limit, real int, load, slow float64, seed uint64) float64 {
+func settle(l *Limit, slots int, load, slow float64, seed uint64) float64 {
 	const service, span = 0.02, 60.0
 	rng := rand.New(rand.NewPCG(seed, 1))
-	free := make([]float64, real)
+	free := make([]float64, slots)
 	var running ends
 	var sum, n float64
-	for at := 0.0; at < span; at += rng.ExpFloat64() * service / (load * float64(real)) {
+	for at := 0.0; at < span; at += rng.ExpFloat64() * service / (load * float64(slots)) {
 		for len(running) > 0 && running[0].at <= at {
 			e := heap.Pop(&running).(end)
 			l.Ended(epoch.Add(seconds(e.at)), e.inFlight, len(running)+1, Result{Latency: seconds(e.at - e.began)})
@@ -73,14 +73,14 @@
 	qt.Assert(t, err, qt.IsNil)
 	for _, f := range archive.Files {
 		t.Run(f.Name, func(t *testing.T) {
-			var announced, real int
+			var announced, slots int
 			var load, slow, low, high float64
-			_, err := fmt.Sscan(strings.TrimSpace(string(f.Data)), &announced, &real, &load, &slow, &low, &high)
+			_, err := fmt.Sscan(strings.TrimSpace(string(f.Data)), &announced, &slots, &load, &slow, &low, &high)
 			qt.Assert(t, err, qt.IsNil)
 			for seed := range uint64(3) {
 				l := &Limit{}
 				l.Announce(epoch, squnit.Slots(announced))
-				got := settle(l, real, load, slow, seed)
+				got := settle(l, slots, load, slow, seed)
 				qt.Check(t, got >= low && got <= high, qt.IsTrue, qt.Commentf("seed %d: settled at %.1f, must be %v to %v", seed, got, low, high))
 			}
 		})
