--- a/internal/standin/sqchaos/chaos.go
+++ b/internal/standin/sqchaos/chaos.go
@@ -158,6 +158,11 @@
 
 // judge compares answers and records, and checks the lists in force.
 func (c *Chaos) judge(ctx context.Context, result *sqload.Result) error {
+	crashed := c.fleet.Crashed()
+	c.add(sqverdict.Row{
+		What: "no process crashes", How: "processes that ended unasked", Figure: "-",
+		Verdict: sqverdict.Of(crashed == nil), Reason: fmt.Sprint(crashed),
+	})
 	runs, err := c.fleet.AllRuns(ctx)
 	if err != nil {
 		return err
--- a/internal/standin/sqdemo/demo.go
+++ b/internal/standin/sqdemo/demo.go
@@ -111,6 +111,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := d.fleet.Crashed(); err != nil {
+		return nil, err
+	}
 	e := &sqverify.Evidence{Samples: append(out.result.Samples, d.extra...), Runs: runs}
 	d.judge(e, marks)
 	d.stopFleet(ctx)
--- a/internal/standin/sqexperiment/figures.go
+++ b/internal/standin/sqexperiment/figures.go
@@ -1,8 +1,10 @@
 package sqexperiment
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"strings"
 	"time"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
@@ -51,7 +53,11 @@
 	Sends   float64 `json:"sends"`
 	// Violations counts what must never be, by kind.
 	Violations map[string]int `json:"violations"`
-	NotSent    int            `json:"notSent"`
+	// ReasonsDuring and ReasonsAfter count the attempts that were not whole,
+	// by reason or status, while the cause holds and from one second after.
+	ReasonsDuring map[string]int `json:"reasonsDuring"`
+	ReasonsAfter  map[string]int `json:"reasonsAfter"`
+	NotSent       int            `json:"notSent"`
 }
 
 func (f *File) figures(e *sqverify.Evidence, result *sqload.Result) Figures {
@@ -66,10 +72,12 @@
 		Recovery: -1, WorstShare: f.worstShare(e, cause), CriticalLost: criticalLost(e, cause),
 		WorstExcess: f.worstExcess(e), Wasted: e.Wasted(f.weights()),
 		Deepest: e.Attempts(f.entryService(), f.deepestService()), NotSent: result.NotSent,
-		Violations: violations(e),
+		Violations: violations(e), ReasonsDuring: reasons(e, cause), ReasonsAfter: reasons(e, after),
 	}
 	offered := float64(e.Served(cause, nil).Requests) / cause.Seconds()
-	out.DuringShare = out.During / min(out.Capacity*f.causeCapacity(), offered)
+	if could := min(out.Capacity*f.causeCapacity(), offered); could > 0 {
+		out.DuringShare = out.During / could
+	}
 	critical := e.Served(cause, func(s *sqload.Sample) bool { return s.Importance == squnit.ImportanceCritical })
 	out.CriticalShare = critical.Share()
 	if took, ok := e.Recovery(before, cause.To, after.To, nil); ok {
@@ -106,6 +114,9 @@
 			least = min(least, slots*float64(len(requests))/held)
 		}
 	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
 	return least
 }
 
@@ -188,9 +199,31 @@
 	}
 }
 
+func reasons(e *sqverify.Evidence, span sqverify.Span) map[string]int {
+	counts := make(map[string]int)
+	for i := range e.Samples {
+		for _, a := range e.Samples[i].Attempts {
+			if a.Whole || !span.Contains(a.Sent) {
+				continue
+			}
+			counts[cmp.Or(a.Reason, clientError(&a), fmt.Sprintf("status %d", a.Status))]++
+		}
+	}
+	return counts
+}
+
+// clientError returns the end of a client's error, which names the cause
+// without addresses; it is empty if an answer came.
+func clientError(a *sqload.Attempt) string {
+	if a.Status != 0 {
+		return ""
+	}
+	return a.Err[strings.LastIndex(a.Err, ": ")+1:]
+}
+
 func (f *Figures) line() string {
-	return fmt.Sprintf("goodput %.0f, %.0f (%.2f of what could be had), %.0f; recovery %.2f s; worst %.3f; wasted %.3f; deepest %.2f",
-		f.Before, f.During, f.DuringShare, f.After, f.Recovery, f.WorstShare, f.Wasted, f.Deepest)
+	return fmt.Sprintf("goodput %.0f, %.0f (%.2f of what could be had), %.0f; recovery %.2f s; worst %.3f; wasted %.3f; deepest %.2f; not whole after: %v",
+		f.Before, f.During, f.DuringShare, f.After, f.Recovery, f.WorstShare, f.Wasted, f.Deepest, f.ReasonsAfter)
 }
 
 // column is one figure of the table.
--- a/internal/standin/sqexperiment/run.go
+++ b/internal/standin/sqexperiment/run.go
@@ -104,6 +104,9 @@
 	if err != nil {
 		return Run{}, err
 	}
+	if err := f.Crashed(); err != nil {
+		return Run{}, err
+	}
 	e := &sqverify.Evidence{Samples: result.Samples, Runs: runs}
 	out := Run{Variant: v.Name, Seed: cfg.Seed, Goodput: result.Goodput, Offered: offered(result)}
 	out.Figures = r.File.figures(e, result)
--- a/internal/standin/sqfleet/fleet.go
+++ b/internal/standin/sqfleet/fleet.go
@@ -297,10 +297,22 @@
 }
 
 func lastLines(p *Process) string {
-	const tail = 600
+	const tail = 1500
 	return fmt.Sprintf("last output: %s", strings.TrimSpace(p.LogTail(tail)))
 }
 
+// Crashed returns an error that names the processes that have ended without
+// being asked to, with the end of what they wrote.
+func (f *Fleet) Crashed() error {
+	var err error
+	for _, p := range f.processes() {
+		if p.Crashed() {
+			err = errors.Join(err, errors.Errorf("%s crashed: %s", p.Name, lastLines(p)))
+		}
+	}
+	return err
+}
+
 func accepts(address string) bool {
 	conn, err := net.DialTimeout("tcp", address, pollEvery)
 	if err != nil {
--- a/internal/standin/sqfleet/process.go
+++ b/internal/standin/sqfleet/process.go
@@ -24,6 +24,8 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
+	// asked is whether the fleet has asked the process to end.
+	asked bool
 }
 
 func newProcess(dir, name, program string, args ...string) *Process {
@@ -45,7 +47,7 @@
 		return errors.Wrapf(err, "start %s", p.Name)
 	}
 	done := make(chan struct{})
-	p.cmd, p.done = cmd, done
+	p.cmd, p.done, p.asked = cmd, done, false
 	go func() {
 		_ = cmd.Wait()
 		close(done)
@@ -82,11 +84,19 @@
 	}
 }
 
+// Crashed reports whether the process has ended without being asked to.
+func (p *Process) Crashed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd != nil && !p.running() && !p.asked
+}
+
 // Signal sends a signal; it does nothing to a process that has ended.
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.running() {
+		p.asked = p.asked || s == syscall.SIGTERM || s == syscall.SIGKILL
 		_ = p.cmd.Process.Signal(s)
 	}
 }
