--- a/internal/edge/sqclaim/books.go
+++ b/internal/edge/sqclaim/books.go
@@ -63,6 +63,9 @@
 	// Keeping returns what this daemon keeps of a shard of its data centre at
 	// now, and false if it may not act as keeper.
 	Keeping(s sqid.ShardID, now time.Time) (Keeping, bool)
+	// Assigned returns what the record assigns this daemon of a shard, also if
+	// it may not act as keeper now.
+	Assigned(s sqid.ShardID) (Keeping, bool)
 	// Home returns the keeper of a data centre's shard, as far as is known.
 	Home(dc sqid.DataCentreID, s sqid.ShardID) (keeper sqkeeper.Member, since sqid.Epoch, ok bool)
 	// Candidates returns the daemons that may be backups, this one excluded.
@@ -146,25 +149,34 @@
 
 // adopt makes the book that a tenure begins with; the shard is locked. A copy
 // is taken over only if it is that of the keeper before.
-func (b *Books) adopt(s *shard, k Keeping, now time.Time) {
+func (b *Books) adopt(id sqid.ShardID, k Keeping, now time.Time) {
+	s := &b.shards[id]
 	if s.since == k.Since {
 		return
 	}
-	c := s.copy
 	switch {
-	case k.From != 0 && c != nil && c.whole && c.since == k.From:
-		s.book = c.book
+	case k.From != 0 && s.copySince() == k.From:
+		s.book = s.copy.book
 	case k.From != 0 && s.since == k.From:
 		// The shard has come back to this daemon's own tenure.
 	case k.First, b.unbacked:
 		s.book = b.newBook()
 	default:
+		b.Logger.Info("book is not complete", "shard", id, "since", k.Since, "from", k.From, "copy", s.copySince())
 		s.book = b.newBook()
 		s.book.CompleteSince, s.book.CompleteEpoch = now.Add(MaxTimeout), k.Since
 	}
 	s.since, s.copy, s.paused, s.joined, s.doubt = k.Since, nil, false, 0, 0
 }
 
+// copySince returns the tenure that the copy is of, 0 if there is none whole.
+func (s *shard) copySince() sqid.Epoch {
+	if s.copy == nil || !s.copy.whole {
+		return 0
+	}
+	return s.copy.since
+}
+
 // Tick forgets operations past the horizon and sees to the backups.
 func (b *Books) Tick(now time.Time) {
 	b.init()
--- a/internal/edge/sqclaim/duty.go
+++ b/internal/edge/sqclaim/duty.go
@@ -47,7 +47,7 @@
 		}
 		s := &b.shards[id]
 		s.mu.Lock()
-		b.adopt(s, keeping, now)
+		b.adopt(id, keeping, now)
 		joined := s.joined == epoch
 		doubtful := s.doubtful(keeping.Record)
 		s.mu.Unlock()
@@ -137,7 +137,21 @@
 func (b *Books) Give(ctx context.Context, shards []sqid.ShardID, to sqkeeper.Member) {
 	b.init()
 	for _, id := range shards {
-		b.copyWhole(ctx, id, to)
+		b.settle(id)
+		if !b.copyWhole(ctx, id, to) {
+			b.Logger.Info("book was not handed over", "shard", id, "peer", to.Daemon)
+		}
+	}
+}
+
+// settle makes the book of a shard that was assigned to this daemon so short a
+// time ago that it has not been used yet.
+func (b *Books) settle(id sqid.ShardID) {
+	if k, ok := b.Keepers.Assigned(id); ok {
+		s := &b.shards[id]
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		b.adopt(id, k, time.Now())
 	}
 }
 
--- a/internal/edge/sqclaim/home.go
+++ b/internal/edge/sqclaim/home.go
@@ -37,7 +37,7 @@
 	s.mu.Lock()
 	keeping, ok := b.Keepers.Keeping(id, now)
 	if ok {
-		b.adopt(s, keeping, now)
+		b.adopt(id, keeping, now)
 	}
 	if !ok || s.paused || !b.homeOf(s, req) {
 		s.mu.Unlock()
@@ -95,7 +95,7 @@
 		s.mu.Unlock()
 		return
 	}
-	b.adopt(s, keeping, now)
+	b.adopt(id, keeping, now)
 	k := keyOf(req.GetKey())
 	outcome := sqoperation.Outcome{Run: squnit.RunState(req.GetRun()), Answer: answerOf(req.GetAnswer())}
 	if !s.book.Finish(now, k, sqoperation.Token(req.GetToken()), outcome) {
--- a/internal/edge/sqclaim/move.go
+++ b/internal/edge/sqclaim/move.go
@@ -155,7 +155,7 @@
 	if !ok {
 		return nil, false
 	}
-	b.adopt(s, keeping, now)
+	b.adopt(id, keeping, now)
 	answer := &sqclaimwire.MoveAnswer{Shard: uint32(id), CompleteAgeUs: completeAge(s.book, now)}
 	answers := []*sqclaimwire.MoveAnswer{answer}
 	s.book.Each(func(e sqoperation.Entry) bool {
--- a/internal/edge/sqclaim/world_test.go
+++ b/internal/edge/sqclaim/world_test.go
@@ -112,7 +112,14 @@
 
 // Keeping is that of Keepers; the fence is the ledger's guarantee.
 func (d *daemon) Keeping(s sqid.ShardID, _ time.Time) (Keeping, bool) {
-	if d.dead || d.fenced || !d.view.Keeper(s).Is(d.member) {
+	if d.dead || d.fenced {
+		return Keeping{}, false
+	}
+	return d.Assigned(s)
+}
+
+func (d *daemon) Assigned(s sqid.ShardID) (Keeping, bool) {
+	if !d.view.Keeper(s).Is(d.member) {
 		return Keeping{}, false
 	}
 	h := d.view.Holdings[s]
--- a/internal/edge/sqdaemon/adapt.go
+++ b/internal/edge/sqdaemon/adapt.go
@@ -99,7 +99,17 @@
 // Keeping returns what this daemon keeps of a shard.
 func (k keepers) Keeping(s sqid.ShardID, now time.Time) (sqclaim.Keeping, bool) {
 	t, ok := k.l.Tenure(s, now)
-	return sqclaim.Keeping{Record: t.Record, Since: t.Since, From: t.From, First: t.Since == 1, Backup: t.Backup}, ok
+	return keepingOf(t), ok
+}
+
+// Assigned returns what the record assigns this daemon of a shard.
+func (k keepers) Assigned(s sqid.ShardID) (sqclaim.Keeping, bool) {
+	t, ok := k.l.Assigned(s)
+	return keepingOf(t), ok
+}
+
+func keepingOf(t sqledger.Tenure) sqclaim.Keeping {
+	return sqclaim.Keeping{Record: t.Record, Since: t.Since, From: t.From, First: t.Since == 1, Backup: t.Backup}
 }
 
 // Home returns the keeper of a shard.
--- a/internal/edge/sqdaemon/build.go
+++ b/internal/edge/sqdaemon/build.go
@@ -8,6 +8,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqtimer"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqclaim"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqentry"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
@@ -38,6 +39,7 @@
 // build makes the parts and subscribes the systems to the timer.
 func (d *Daemon) build() error {
 	d.began = time.Now()
+	d.unsettled = d.began
 	d.incarnation = sqid.Incarnation(d.began.UnixMilli())
 	d.metrics = sqmetric.New()
 	d.pool = new(sqpeer.Pool)
@@ -99,6 +101,7 @@
 		Members: members{d.member}, Plans: d.holder, Facts: facts{d}, Metrics: d.metrics, Log: d.Logger,
 	}
 	d.timer.Subscribe(sqledger.TickPeriod, d.ledger)
+	d.timer.Subscribe(sqledger.TickPeriod, sqtimer.SystemFunc(d.settle))
 }
 
 func (d *Daemon) buildBooks() {
--- a/internal/edge/sqdaemon/daemon.go
+++ b/internal/edge/sqdaemon/daemon.go
@@ -29,8 +29,12 @@
 	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
 )
 
-// settleTimeout bounds the wait for the ledger at a start.
-const settleTimeout = 15 * time.Second
+const (
+	// settleTimeout bounds the wait for the ledger at a start, and settledFor
+	// is how long it has to be settled.
+	settleTimeout = 15 * time.Second
+	settledFor    = time.Second
+)
 
 // Daemon is one daemon of the fleet.
 type Daemon struct {
@@ -43,6 +47,7 @@
 	stopping    atomic.Bool
 	began       time.Time
 	wasSettled  atomic.Bool
+	unsettled   time.Time
 
 	platform *sqplatform.Client
 	pool     *sqpeer.Pool
@@ -140,10 +145,19 @@
 // or is not to be waited for any longer: a data centre that is cut off at a
 // start serves what its share allows.
 func (d *Daemon) settled() bool {
-	if !d.wasSettled.Load() && (d.ledger.Settled() || time.Since(d.began) > settleTimeout) {
+	return d.wasSettled.Load() || time.Since(d.began) > settleTimeout
+}
+
+// settle notes when the ledger has been settled for a while: at first it may
+// not know of all data centres.
+func (d *Daemon) settle(now time.Time) {
+	switch {
+	case d.wasSettled.Load():
+	case !d.ledger.Settled():
+		d.unsettled = now
+	case now.Sub(d.unsettled) >= settledFor:
 		d.wasSettled.Store(true)
 	}
-	return d.wasSettled.Load()
 }
 
 // listsKnown reports whether this daemon has heard of any lists; a fleet to
--- a/internal/edge/sqledger/backup.go
+++ b/internal/edge/sqledger/backup.go
@@ -28,14 +28,22 @@
 func (l *Ledger) Tenure(s sqid.ShardID, now time.Time) (Tenure, bool) {
 	l.init()
 	v := l.view.Load()
-	r := v.records[l.DataCentre]
-	if r == nil || int(s) >= sqkeeper.ShardCount || !v.keeping(s, now) {
+	if int(s) >= sqkeeper.ShardCount || !v.keeping(s, now) {
 		return Tenure{}, false
 	}
-	h := r.Holdings[s]
-	if !r.Keeper(s).Is(l.Self) || h.Since != v.since[s] {
+	t, ok := l.Assigned(s)
+	return t, ok && t.Since == v.since[s]
+}
+
+// Assigned returns the tenure that the newest record known gives this daemon,
+// also if it may not act as keeper now.
+func (l *Ledger) Assigned(s sqid.ShardID) (Tenure, bool) {
+	l.init()
+	r := l.view.Load().records[l.DataCentre]
+	if r == nil || int(s) >= sqkeeper.ShardCount || !r.Keeper(s).Is(l.Self) {
 		return Tenure{}, false
 	}
+	h := r.Holdings[s]
 	return Tenure{Record: r.Epoch, Since: h.Since, From: max(h.HandedSince, h.BackedSince), Backup: r.Backup(s)}, true
 }
 
