--- a/internal/edge/sqledger/borrow.go
+++ b/internal/edge/sqledger/borrow.go
@@ -5,12 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
-	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
-	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqledgerwire"
 )
 
@@ -58,14 +54,6 @@
 	reply func(outcome)
 }
 
-func firstLoanID(m sqkeeper.Member) uint64 {
-	return xxhash.Sum64String(string(m.Daemon)) ^ uint64(m.Incarnation)*0x9e3779b97f4a7c15
-}
-
-func (l *Ledger) newLoanID() sqlimit.LoanID {
-	return sqlimit.LoanID(l.loanIDs.Add(1))
-}
-
 // soonest returns the smaller of two waits, of which a negative one is none.
 func soonest(a, b time.Duration) time.Duration {
 	switch {
@@ -267,21 +255,6 @@
 	}
 }
 
-func loanFrom(m *sqledgerwire.Loan) sqlimit.Loan {
-	return sqlimit.Loan{
-		ID:       sqlimit.LoanID(m.Id),
-		Capacity: sqlimit.Capacity{Rate: squnit.Rate(m.Rate), Burst: squnit.Tokens(m.Burst)},
-		Tokens:   squnit.Tokens(m.Tokens),
-	}
-}
-
-func loanTo(loan sqlimit.Loan) *sqledgerwire.Loan {
-	return &sqledgerwire.Loan{
-		Id: uint64(loan.ID), Rate: float64(loan.Capacity.Rate),
-		Burst: float64(loan.Capacity.Burst), Tokens: float64(loan.Tokens),
-	}
-}
-
 // want returns what the account should borrow; nothing for a plan that is not
 // split, whose home spends for all.
 func (l *Ledger) want(a *account, now time.Time) sqlimit.Capacity {
@@ -379,53 +352,3 @@
 		}
 	}
 }
-
-// lend sends a request to the keeper of the workspace in another data centre.
-func (l *Ledger) lend(ctx context.Context, dc sqid.DataCentreID, request *sqledgerwire.LendRequest) (*sqledgerwire.LendAnswer, error) {
-	home, ok := l.Home(dc, sqkeeper.Shard(request.Workspace))
-	if !ok {
-		return nil, errNoKeeper
-	}
-	p, err := l.dial(home.Keeper.PeerAddress)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
-	defer cancel()
-	return p.Lend(ctx, request)
-}
-
-// serveLend answers the keeper of another data centre.
-func (l *Ledger) serveLend(r *sqledgerwire.LendRequest) *sqledgerwire.LendAnswer {
-	w := sqid.WorkspaceID(r.Workspace)
-	s := &l.shards[sqkeeper.Shard(r.Workspace)]
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	a, o := l.open(s, w, now)
-	if a == nil {
-		return &sqledgerwire.LendAnswer{Keeping: o != notKeeping}
-	}
-	answer := &sqledgerwire.LendAnswer{Keeping: true}
-	for _, loan := range r.GiveBack {
-		a.ledger.TakeBack(now, sqlimit.LoanID(loan.Id), squnit.Tokens(loan.Tokens))
-	}
-	for _, id := range r.Extend {
-		if a.ledger.Extend(now, sqlimit.LoanID(id)) {
-			answer.Extended = append(answer.Extended, id)
-		}
-	}
-	answer.Spent = uint32(l.spend(a, now, int(min(r.Spend, waitLimit))))
-	wanted := sqlimit.Capacity{Rate: squnit.Rate(r.Rate), Burst: squnit.Tokens(r.Burst)}
-	if a.split {
-		if loan, ok := a.ledger.Lend(now, l.newLoanID(), wanted); ok {
-			answer.Loan = loanTo(loan)
-		}
-	}
-	if after, ok := a.ledger.Until(now); ok {
-		answer.RetryAfterUs = after.Microseconds()
-	} else {
-		answer.RetryAfterUs = failBackoff.Microseconds()
-	}
-	return answer
-}
--- a/internal/edge/sqledger/refused_test.go
+++ b/internal/edge/sqledger/refused_test.go
@@ -76,3 +76,41 @@
 		})
 	}
 }
+
+// TestKeeperLost kills or pauses a keeper while the load is even: as long as
+// the other data centres' shares suffice, its entries are served by those.
+func TestKeeperLost(t *testing.T) {
+	for _, fault := range []string{"kill", "pause"} {
+		for _, load := range []float64{60, 90} {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newFleet(t, 1)
+				defer f.close()
+				f.delay = regions
+				f.plans(plan("shop", 100, 100))
+				f.startAll(4, 3)
+				time.Sleep(settling)
+				size := sqlimit.Capacity{Rate: 100, Burst: 100}
+				lost := f.keeperOf("dc00", "shop")
+				go func() {
+					time.Sleep(5 * time.Second)
+					f.happen(c, []string{fault, lost})
+					time.Sleep(25 * time.Second)
+					f.resumeAll()
+				}()
+				got := f.drive("shop", size, load, 30*time.Second, func() *node {
+					for {
+						if n := f.anyEntry(); string(n.Self.Daemon) != lost {
+							return n
+						}
+					}
+				})
+				t.Logf("%s at %.0f/s: sent %d refused %d failed %d wrongly %d, longest %v", fault, load, got.sent, got.refused, got.failed, got.wrongly, got.longest)
+				c.Check(f.excess("shop", size), qt.Equals, 0.0)
+				if load < 75 {
+					c.Check(got.failed+got.wrongly <= got.sent/1000, qt.IsTrue)
+				}
+			})
+		}
+	}
+}
--- a/internal/edge/sqledger/upkeep.go
+++ b/internal/edge/sqledger/upkeep.go
@@ -205,6 +205,7 @@
 		l.Log.V(1).Info("keepers records are not to be read", "error", err.Error())
 		return
 	}
+	own := sqid.Epoch(0)
 	for _, record := range records {
 		if record.Key == sqkeeper.SharesKey {
 			l.learnShares(record.Value)
@@ -216,6 +217,28 @@
 			continue
 		}
 		l.polled(r, sent)
+		if r.DataCentre == l.DataCentre {
+			own = r.Epoch
+		}
+	}
+	if own < l.Epoch() {
+		l.restate(ctx)
+	}
+}
+
+// restate writes the record that this daemon knows again if the platform has
+// come back with an older one, or without it.
+func (l *Ledger) restate(ctx context.Context) {
+	err := l.change(ctx, func(r *sqkeeper.Record, now time.Time) (*sqkeeper.Record, bool) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if r != l.machine.Record() {
+			return nil, false
+		}
+		return r.Restate(func(e sqkeeper.Earlier) bool { return l.machine.Closed(e, now) })
+	})
+	if err != nil {
+		l.Log.V(1).Info("keepers record is not restated", "error", err.Error())
 	}
 }
 
--- a/internal/state/sqkeeper/change.go
+++ b/internal/state/sqkeeper/change.go
@@ -45,6 +45,13 @@
 	return n, changed && len(n.Earlier) <= openLimit
 }
 
+// Restate returns the record of a new epoch that differs in nothing else. It
+// replaces an older one that the platform has come back with.
+func (r *Record) Restate(closed func(Earlier) bool) (*Record, bool) {
+	n := r.successor(closed)
+	return n, len(n.Earlier) <= openLimit
+}
+
 // Give returns the record in which the shards of giver go to the daemons of
 // `to`, shard by shard. The giver has stopped spending them. If it leaves, it
 // is no longer in the roster.
