--- a/cmd/sequoiatack/daemon.go
+++ b/cmd/sequoiatack/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -30,6 +31,12 @@
 	return cmd
 }
 
+const (
+	// gcPercent trades memory for processor time; memoryLimit bounds that.
+	gcPercent   = 400
+	memoryLimit = 200 << 20
+)
+
 // runDaemon runs a daemon until ctx ends, which the first signal does.
 func runDaemon(ctx context.Context, file string) error {
 	cfg, err := sqsettings.Load(file)
@@ -40,6 +47,8 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimit)
 	d := &sqdaemon.Daemon{Settings: cfg, Logger: log}
 	now, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
--- a/internal/edge/sqdaemon/path_test.go
+++ b/internal/edge/sqdaemon/path_test.go
@@ -272,3 +272,32 @@
 		qt.Assert(t, text, qt.Equals, "a")
 	}
 }
+
+// TestBadInput sends what no caller should: nothing of it reaches a target.
+func TestBadInput(t *testing.T) {
+	f := newFleet(t, 1, allow(0, "calendar"))
+	f.target(0, "calendar", func(http.ResponseWriter, *http.Request) { t.Error("target was reached") })
+	for name, c := range map[string]struct {
+		header http.Header
+		length int64
+		status int
+	}{
+		"negative timeout":   {http.Header{"Sequoia-Timeout": {"-1s"}}, 0, 400},
+		"malformed timeout":  {http.Header{"Sequoia-Timeout": {"soon"}}, 0, 400},
+		"two keys":           {http.Header{"Authorization": {"Bearer a", "Bearer b"}}, 0, 401},
+		"another scheme":     {http.Header{"Authorization": {"Basic YTpi"}}, 0, 401},
+		"a body too large":   {nil, int64(sqentry.MaxBodyBytes) + 1, 413},
+		"a key far too long": {http.Header{"Idempotency-Key": {strings.Repeat("k", sqentry.MaxKeyBytes+1)}}, 0, 400},
+	} {
+		r := httptest.NewRequest(http.MethodPost, "/calendar/x", http.NoBody)
+		r.Header.Set("Authorization", "Bearer "+testKey)
+		for k, v := range c.header {
+			r.Header[k] = v
+		}
+		r.ContentLength = c.length
+		w := httptest.NewRecorder()
+		f.nodes[0].caller.Config.Handler.ServeHTTP(w, r)
+		qt.Check(t, w.Code, qt.Equals, c.status, qt.Commentf("%s: %s", name, w.Body))
+		qt.Check(t, w.Header().Get("Sequoia-Run"), qt.Equals, "not-run", qt.Commentf("%s", name))
+	}
+}
--- a/internal/edge/sqentry/entry.go
+++ b/internal/edge/sqentry/entry.go
@@ -166,7 +166,7 @@
 		timeout = route.Timeout
 	}
 	q := e.newRequest(r, service, path, now.Add(timeout))
-	q.workspace, q.importance = route.Workspace, route.Importance
+	q.workspace, q.importance, q.kind = route.Workspace, route.Importance, route.Kind
 	q.nonIdempotent = route.NonIdempotent
 	q.credit, q.weight = route.Retries, route.Plan.Weight
 	q.root = string(sqid.NewCallID())
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -39,6 +39,7 @@
 	method        string
 	key           string
 	workspace     sqid.WorkspaceID
+	kind          string
 	importance    squnit.Importance
 	weight        squnit.Weight
 	nonIdempotent bool
@@ -232,7 +233,7 @@
 
 // class is what the request's shedding is decided by.
 func (q *request) class() sqshed.Class {
-	return sqshed.Class{Service: q.service, Workspace: q.workspace}
+	return sqshed.Class{Service: q.service, Route: q.kind, Workspace: q.workspace}
 }
 
 // shed refuses a request that the services have no room for.
--- a/internal/state/sqlists/index.go
+++ b/internal/state/sqlists/index.go
@@ -37,6 +37,9 @@
 	NonIdempotent bool
 	Timeout       time.Duration
 	Retries       squnit.Credit
+	// Kind tells the routes of a service apart: the methods and paths of the
+	// plan's use, empty for one that allows all.
+	Kind string
 }
 
 // NewIndex builds the index of lists that have been checked.
@@ -167,6 +170,7 @@
 		NonIdempotent: methodNonIdempotent(method),
 		Timeout:       time.Duration(u.Timeout),
 		Retries:       u.Retries,
+		Kind:          u.kind(),
 	}
 	if u.NonIdempotent != nil {
 		r.NonIdempotent = *u.NonIdempotent
@@ -177,6 +181,13 @@
 	return r
 }
 
+func (u *Use) kind() string {
+	if len(u.Methods)+len(u.Paths) == 0 {
+		return ""
+	}
+	return strings.Join(u.Methods, ",") + " " + strings.Join(u.Paths, ",")
+}
+
 func methodNonIdempotent(method string) bool {
 	return method == http.MethodPost || method == http.MethodPatch
 }
