--- a/internal/standin/sqexperiment/size.go
+++ b/internal/standin/sqexperiment/size.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -39,6 +41,7 @@
 // are of one daemon.
 type RestFigures struct {
 	PlatformCalls map[string]float64 `json:"platformCalls"`
+	SentByKind    map[string]float64 `json:"sentByKind"`
 	SentMean      float64            `json:"sentMean"`
 	SentMax       float64            `json:"sentMax"`
 	ReceivedMean  float64            `json:"receivedMean"`
@@ -67,6 +70,7 @@
 const (
 	sizeCentres                 = 4
 	settleTime                  = 3 * time.Second
+	sizeSettle                  = 10 * time.Second
 	sizeSlots      squnit.Slots = 16
 	everywhereWait              = 10 * time.Second
 	statusEvery                 = 20 * time.Millisecond
@@ -113,11 +117,14 @@
 	if err := WaitServing(ctx, f, cfg); err != nil {
 		return nil, err
 	}
-	time.Sleep(settleTime)
+	if err := f.WaitSettled(ctx); err != nil {
+		return nil, err
+	}
+	time.Sleep(sizeSettle)
 	m := &sizeRun{fleet: f, tenants: tenants, out: out}
 	for _, step := range []func(context.Context, *sizeRun) error{s.rest, s.outage, s.changes, s.kill} {
 		if err := step(ctx, m); err != nil {
-			return nil, err
+			return nil, errors.Join(err, f.Crashed())
 		}
 	}
 	fmt.Fprintf(s.Progress, "%d daemons: measured\n", out.Daemons)
@@ -164,12 +171,13 @@
 	at       time.Time
 	platform map[string]int
 	sent     []float64
+	kinds    map[string]float64
 	received []float64
 	usage    []sqfleet.Usage
 }
 
 func read(ctx context.Context, f *sqfleet.Fleet) (*reading, error) {
-	r := &reading{at: time.Now()}
+	r := &reading{at: time.Now(), kinds: make(map[string]float64)}
 	var err error
 	if r.platform, err = f.PlatformCounts(ctx); err != nil {
 		return nil, err
@@ -180,6 +188,9 @@
 			return nil, err
 		}
 		const name = "sequoiatack_control_bytes_total"
+		for kind, v := range m.By(name, "kind", "direction", "sent") {
+			r.kinds[kind] += v
+		}
 		r.sent = append(r.sent, m.Sum(name, "direction", "sent"))
 		r.received = append(r.received, m.Sum(name, "direction", "received"))
 		u, err := d.Usage()
@@ -202,7 +213,10 @@
 		return RestFigures{}, err
 	}
 	seconds := b.at.Sub(a.at).Seconds()
-	out := RestFigures{PlatformCalls: make(map[string]float64)}
+	out := RestFigures{PlatformCalls: make(map[string]float64), SentByKind: make(map[string]float64)}
+	for kind, v := range b.kinds {
+		out.SentByKind[kind] = (v - a.kinds[kind]) / seconds / float64(len(b.sent))
+	}
 	for kind, n := range b.platform {
 		out.PlatformCalls[kind] = float64(n-a.platform[kind]) / seconds
 	}
@@ -290,9 +304,21 @@
 		writeRest(t, &f, "healthy", &f.Healthy, &f.HealthyRate)
 		writeRest(t, &f, "outage", &f.Outage, &f.OutageRate)
 	}
+	for _, f := range all {
+		fmt.Fprintf(t, "%d daemons, healthy, sent B/s: %s; platform calls/s: %s\n",
+			f.Daemons, byKind(f.Healthy.SentByKind), byKind(f.Healthy.PlatformCalls))
+	}
 	return t.Flush()
 }
 
+func byKind(m map[string]float64) string {
+	var parts []string
+	for _, kind := range slices.Sorted(maps.Keys(m)) {
+		parts = append(parts, fmt.Sprintf("%s %.2f", kind, m[kind]))
+	}
+	return strings.Join(parts, ", ")
+}
+
 func writeRest(w io.Writer, f *SizeFigures, state string, r *RestFigures, rate *RateFigures) {
 	const percent, mega = 100, 1 << 20
 	total := 0.0
--- a/internal/standin/sqfleet/admin.go
+++ b/internal/standin/sqfleet/admin.go
@@ -129,6 +129,19 @@
 	return total
 }
 
+// By returns the sums of a family by the values of one label, as Sum does.
+func (m Metrics) By(name, label string, labels ...string) map[string]float64 {
+	out := make(map[string]float64)
+	for _, metric := range m[name].GetMetric() {
+		for _, l := range metric.GetLabel() {
+			if l.GetName() == label {
+				out[l.GetValue()] = m.Sum(name, append([]string{label, l.GetValue()}, labels...)...)
+			}
+		}
+	}
+	return out
+}
+
 func hasLabels(m *dto.Metric, labels []string) bool {
 	for i := 0; i+1 < len(labels); i += 2 {
 		found := false
--- a/internal/standin/sqfleet/fleet_test.go
+++ b/internal/standin/sqfleet/fleet_test.go
@@ -85,5 +85,7 @@
 	qt.Check(t, m.Sum("bytes"), qt.Equals, 7.0)
 	qt.Check(t, m.Sum("bytes", "direction", "sent"), qt.Equals, 3.0)
 	qt.Check(t, m.Sum("bytes", "direction", "sent", "kind", "b"), qt.Equals, 2.0)
+	qt.Check(t, m.By("bytes", "kind"), qt.DeepEquals, map[string]float64{"a": 5, "b": 2})
+	qt.Check(t, m.By("bytes", "kind", "direction", "sent"), qt.DeepEquals, map[string]float64{"a": 1, "b": 2})
 	qt.Check(t, m.Sum("none"), qt.Equals, 0.0)
 }
