--- a/internal/edge/sqdaemon/build.go
+++ b/internal/edge/sqdaemon/build.go
@@ -8,6 +8,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqtimer"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqclaim"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqentry"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
@@ -38,6 +39,7 @@
 // build makes the parts and subscribes the systems to the timer.
 func (d *Daemon) build() error {
 	d.began = time.Now()
+	d.unsettled = d.began
 	d.incarnation = sqid.Incarnation(d.began.UnixMilli())
 	d.metrics = sqmetric.New()
 	d.pool = new(sqpeer.Pool)
@@ -99,11 +101,13 @@
 		Members: members{d.member}, Plans: d.holder, Facts: facts{d}, Metrics: d.metrics, Log: d.Logger,
 	}
 	d.timer.Subscribe(sqledger.TickPeriod, d.ledger)
+	d.timer.Subscribe(sqledger.TickPeriod, sqtimer.SystemFunc(d.settle))
 }
 
 func (d *Daemon) buildBooks() {
 	d.books = &sqclaim.Books{
 		Self: d.ledger.Self, DataCentre: d.Settings.DataCentre, Keepers: keepers{d.ledger}, Conns: d.pool, Logger: d.Logger,
+		Suspect: d.member.Suspect,
 	}
 	d.ledger.OnGive(d.books)
 	d.timer.Subscribe(sqclaim.TickPeriod, d.books)
@@ -123,7 +127,7 @@
 	}
 	d.entry = &sqentry.Entry{
 		Daemon: s.DaemonName, Lists: lists{d}, Router: router, Gate: d.gate, Conns: d.pool, Calls: d.calls,
-		Charger: charger{d.ledger}, Operations: operations{d.books}, Metrics: d.metrics, Logger: d.Logger, Stopping: d.stopping.Load,
+		Charger: charger{d.ledger}, Operations: operations{d.books}, Metrics: d.metrics, Logger: d.Logger, Suspect: d.member.Suspect, Stopping: d.stopping.Load,
 	}
 	d.timer.Subscribe(targetsTick, d.targets)
 	d.timer.Subscribe(routerTick, router)
--- a/internal/edge/sqledger/backup.go
+++ b/internal/edge/sqledger/backup.go
@@ -24,18 +24,27 @@
 }
 
 // Tenure returns this daemon's tenure of a shard of its data centre, and false
-// if it may not act as keeper at now.
+// if it may not act as keeper at now. What is not spent may be acted on sooner
+// than the rate: the keeper before has stopped, but may have borrowed.
 func (l *Ledger) Tenure(s sqid.ShardID, now time.Time) (Tenure, bool) {
 	l.init()
 	v := l.view.Load()
-	r := v.records[l.DataCentre]
-	if r == nil || int(s) >= sqkeeper.ShardCount || !v.keeping(s, now) {
+	if int(s) >= sqkeeper.ShardCount || !v.acting(s, now, l.Terms.Loan) {
 		return Tenure{}, false
 	}
-	h := r.Holdings[s]
-	if !r.Keeper(s).Is(l.Self) || h.Since != v.since[s] {
+	t, ok := l.Assigned(s)
+	return t, ok && t.Since == v.since[s]
+}
+
+// Assigned returns the tenure that the newest record known gives this daemon,
+// also if it may not act as keeper now.
+func (l *Ledger) Assigned(s sqid.ShardID) (Tenure, bool) {
+	l.init()
+	r := l.view.Load().records[l.DataCentre]
+	if r == nil || int(s) >= sqkeeper.ShardCount || !r.Keeper(s).Is(l.Self) {
 		return Tenure{}, false
 	}
+	h := r.Holdings[s]
 	return Tenure{Record: r.Epoch, Since: h.Since, From: max(h.HandedSince, h.BackedSince), Backup: r.Backup(s)}, true
 }
 
