--- a/internal/edge/sqdaemon/adapt.go
+++ b/internal/edge/sqdaemon/adapt.go
@@ -84,6 +84,24 @@
 	return sqlists.Stale(l.d.holder.Confirmed(), now, limit)
 }
 
+// The usual times between data centres, by which they are ordered.
+const (
+	nearDistance = time.Millisecond
+	farDistance  = 20 * time.Millisecond
+)
+
+// distance tells data centres of the own region from others.
+func (d *Daemon) distance(dc sqid.DataCentreID) time.Duration {
+	away := farDistance
+	d.member.Each(func(r sqmember.Row) bool {
+		if r.DataCentre == dc && r.Region == d.Settings.Region {
+			away = nearDistance
+		}
+		return away == farDistance
+	})
+	return away
+}
+
 // charger spends by the ledger.
 type charger struct{ l *sqledger.Ledger }
 
--- a/internal/edge/sqdaemon/build.go
+++ b/internal/edge/sqdaemon/build.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
@@ -42,7 +44,8 @@
 	d.unsettled = d.began
 	d.incarnation = sqid.Incarnation(d.began.UnixMilli())
 	d.metrics = sqmetric.New()
-	d.pool = new(sqpeer.Pool)
+	d.control = &sqpeer.Control{Metrics: d.metrics}
+	d.pool = &sqpeer.Pool{Options: []grpc.DialOption{d.control.Dial()}}
 	d.platform = &sqplatform.Client{Addresses: d.Settings.PlatformAddresses, Metrics: d.metrics, Logger: d.Logger}
 	d.fleet = new(sqtarget.Directory)
 	d.calls = new(sqcall.Table)
@@ -99,6 +102,7 @@
 		Self:       sqkeeper.Member{Daemon: s.DaemonName, Incarnation: d.incarnation, PeerAddress: s.PeerAddress},
 		DataCentre: s.DataCentre, Store: d.platform, Conn: d.pool,
 		Members: members{d.member}, Plans: d.holder, Facts: facts{d}, Metrics: d.metrics, Log: d.Logger,
+		Distance: d.distance,
 	}
 	d.timer.Subscribe(sqledger.TickPeriod, d.ledger)
 	d.timer.Subscribe(sqledger.TickPeriod, sqtimer.SystemFunc(d.settle))
@@ -135,7 +139,7 @@
 }
 
 func (d *Daemon) buildPeers() {
-	d.peers = sqpeer.NewServer()
+	d.peers = sqpeer.NewServer(d.control.Serve())
 	(&sqgate.Server{Gate: d.gate}).Register(d.peers)
 	d.gossip.Register(d.peers)
 	d.ledger.Register(d.peers)
--- a/internal/edge/sqdaemon/daemon.go
+++ b/internal/edge/sqdaemon/daemon.go
@@ -50,6 +50,7 @@
 	unsettled   time.Time
 
 	platform *sqplatform.Client
+	control  *sqpeer.Control
 	pool     *sqpeer.Pool
 	holder   *sqlists.Holder
 	follower *sqlists.Follower
