Say not-run only of a request of which no attempt may have run

Cause: the answer carried the last attempt's run state. The test failed before ('not-run') and passes after.

--- a/internal/edge/sqdaemon/path_test.go
+++ b/internal/edge/sqdaemon/path_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -260,6 +261,25 @@
 	}
 }
 
+// TestNotRunIsOfAllAttempts has a read's first attempt run and fail, and the
+// next ones refused: the request as a whole may have run.
+func TestNotRunIsOfAllAttempts(t *testing.T) {
+	f := newFleet(t, 3, allow(3, "photos"))
+	var runs atomic.Int64
+	for i := range f.nodes {
+		f.target(i, "photos", func(w http.ResponseWriter, _ *http.Request) {
+			if runs.Add(1) == 1 {
+				panic(http.ErrAbortHandler)
+			}
+			w.Header().Set("Sequoia-Run", "not-run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+	}
+	resp, text := f.do(http.MethodGet, "/photos/1", testKey, nil)
+	qt.Assert(t, runs.Load() > 1, qt.IsTrue)
+	qt.Assert(t, resp.Header.Get("Sequoia-Run"), qt.Equals, "unknown", qt.Commentf("%s", text))
+}
+
 // TestDrainingTargetGetsNothingNew drains a target that entries still route to.
 func TestDrainingTargetGetsNothingNew(t *testing.T) {
 	f := newFleet(t, 2, allow(0, "calendar"))
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -64,6 +64,8 @@
 	tried    []sqtarget.ID
 	reroutes int
 	sheds    int
+	// mayHaveRun is set once the outcome of an attempt is not certain.
+	mayHaveRun bool
 }
 
 func (e *Entry) newRequest(r *http.Request, s sqid.ServiceID, path string, deadline time.Time) *request {
@@ -126,8 +128,17 @@
 	return refuse(sqreason.CallerGone, errors.Wrap(err, "read body"))
 }
 
-// attempts tries targets until one answers or a refusal stands.
+// attempts tries targets until one answers or a refusal stands. A refusal is
+// of the whole request: it says not-run only if no attempt may have run.
 func (q *request) attempts(w http.ResponseWriter) *sqerror.Error {
+	refusal := q.try(w)
+	if refusal != nil && q.mayHaveRun && refusal.Run == squnit.RunNot {
+		refusal.Run = squnit.RunUnknown
+	}
+	return refusal
+}
+
+func (q *request) try(w http.ResponseWriter) *sqerror.Error {
 	var last *sqerror.Error
 	for {
 		target, reason := q.entry.Router.pick(q)
@@ -139,6 +150,7 @@
 		if refusal == nil {
 			return nil
 		}
+		q.mayHaveRun = q.mayHaveRun || refusal.Run != squnit.RunNot
 		if !q.retry(refusal) {
 			return refusal
 		}
