--- a/internal/edge/sqhelp/help_test.go
+++ b/internal/edge/sqhelp/help_test.go
@@ -15,7 +15,7 @@
 // has each reason with its status, and no other.
 func TestPages(t *testing.T) {
 	topics := sqhelp.Topics()
-	qt.Assert(t, topics, qt.DeepEquals, []string{"keys", "limits", "lists", "refusals", "settings"})
+	qt.Assert(t, topics, qt.DeepEquals, []string{"keys", "limits", "lists", "operations", "overload", "refusals", "settings", "targets"})
 	for _, topic := range topics {
 		page, ok := sqhelp.Page(topic)
 		qt.Assert(t, ok, qt.IsTrue)
