--- a/internal/edge/sqclaim/world_test.go
+++ b/internal/edge/sqclaim/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -22,6 +23,13 @@
 // world is a data centre of daemons with books, their keepers record in a
 // platform, and faults between them.
 type world struct {
+	centre sqid.DataCentreID
+	// far is another data centre; cut says that it can't be reached.
+	far *world
+	cut bool
+	// set is the agreed set of data centres.
+	set sqkeeper.SharesSet
+
 	rng     *rand.Rand
 	daemons []*daemon
 	record  *sqkeeper.Record
@@ -49,12 +57,16 @@
 }
 
 func newWorld(seed uint64, n int) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), runs: make(map[sqoperation.Key]int)}
+	return newWorldOf(testCentre, seed, n)
+}
+
+func newWorldOf(centre sqid.DataCentreID, seed uint64, n int) *world {
+	w := &world{centre: centre, rng: rand.New(rand.NewPCG(seed, 1)), runs: make(map[sqoperation.Key]int)}
 	for i := range n {
-		w.add(sqid.DaemonID(rune('a' + i)))
+		w.add(sqid.DaemonID(string(centre) + string(rune('a'+i))))
 	}
-	set := sqkeeper.SharesSet{Epoch: 1, DataCentres: []sqid.DataCentreID{testCentre}}
-	w.record = sqkeeper.First(testCentre, w.daemons[0].member, sqkeeper.SharesSet{}, set)
+	w.set = sqkeeper.SharesSet{Epoch: 1, DataCentres: []sqid.DataCentreID{centre}}
+	w.record = sqkeeper.First(centre, w.daemons[0].member, sqkeeper.SharesSet{}, w.set)
 	w.record, _ = w.record.Next(sqkeeper.Changes{Alive: w.alive(), Closed: all})
 	w.learn()
 	return w
@@ -64,7 +76,7 @@
 	d := &daemon{w: w, member: sqkeeper.Member{
 		Daemon: name, Incarnation: sqid.Incarnation(len(w.daemons) + 1), PeerAddress: string(name) + string(rune('0'+len(w.daemons))),
 	}}
-	d.books = &Books{Self: d.member, DataCentre: testCentre, Keepers: d, Logger: logr.Discard()}
+	d.books = &Books{Self: d.member, DataCentre: w.centre, Keepers: d, Logger: logr.Discard()}
 	d.books.dial = func(address string) (sqclaimwire.ClaimsClient, error) { return d.dial(address) }
 	d.books.init()
 	w.daemons = append(w.daemons, d)
@@ -126,7 +138,11 @@
 	return Keeping{Record: d.view.Epoch, Since: h.Since, From: max(h.HandedSince, h.BackedSince), First: h.Since == 1, Backup: d.view.Backup(s)}, true
 }
 
-func (d *daemon) Home(_ sqid.DataCentreID, s sqid.ShardID) (sqkeeper.Member, sqid.Epoch, bool) {
+func (d *daemon) Home(dc sqid.DataCentreID, s sqid.ShardID) (sqkeeper.Member, sqid.Epoch, bool) {
+	if dc != d.w.centre {
+		r := d.w.far.record
+		return r.Keeper(s), r.Holdings[s].Since, true
+	}
 	return d.view.Keeper(s), d.view.Holdings[s].Since, true
 }
 
@@ -141,7 +157,7 @@
 }
 
 func (d *daemon) Centres() ([]sqid.DataCentreID, uint64) {
-	return []sqid.DataCentreID{testCentre}, 1
+	return d.w.set.DataCentres, uint64(d.w.set.Epoch)
 }
 
 // SetBackups changes the record; its answer may be lost after that.
@@ -163,7 +179,11 @@
 
 // dial reaches another daemon unless one of the two is gone.
 func (d *daemon) dial(address string) (sqclaimwire.ClaimsClient, error) {
-	for _, to := range d.w.daemons {
+	reachable := d.w.daemons
+	if d.w.far != nil && !d.w.cut {
+		reachable = append(slices.Clone(reachable), d.w.far.daemons...)
+	}
+	for _, to := range reachable {
 		if to.member.PeerAddress == address && !to.dead && !to.fenced && !d.dead && !d.fenced {
 			return &client{from: d, to: to}, nil
 		}
