--- a/internal/standin/sqchaos/bring.go
+++ b/internal/standin/sqchaos/bring.go
@@ -12,6 +12,11 @@
 // bring brings about a fault and takes it back when it has held long enough.
 func (c *Chaos) bring(ctx context.Context, f Fault) error {
 	d := c.fleet.Daemons()[f.Daemon]
+	if f.Kind == KindKill || f.Kind == KindPause || f.Kind == KindStop {
+		// A planned stop may last into the daemon's next fault.
+		c.processes[f.Daemon].Lock()
+		defer c.processes[f.Daemon].Unlock()
+	}
 	switch f.Kind {
 	case KindKill:
 		d.Kill()
--- a/internal/standin/sqchaos/chaos.go
+++ b/internal/standin/sqchaos/chaos.go
@@ -36,6 +36,8 @@
 
 	fleet   *sqfleet.Fleet
 	tenants []sqfleet.Tenant
+	// processes has a lock for each daemon's process.
+	processes []sync.Mutex
 
 	mu sync.Mutex
 	// keys are the keys that accepted lists gave to the first workspace.
@@ -103,6 +105,7 @@
 // Run runs the fleet under faults and returns what held.
 func (c *Chaos) Run(ctx context.Context) ([]sqverdict.Row, error) {
 	c.fleet = &sqfleet.Fleet{Layout: layout(), Program: c.Program, Extra: c.Extra, Seed: c.Seed}
+	c.processes = make([]sync.Mutex, len(c.fleet.Layout.Seats()))
 	c.tenants = tenants()
 	plan := Plan(c.Seed, len(c.fleet.Layout.Seats()), c.Length)
 	c.say("seed %d, %d faults", c.Seed, len(plan))
