Have one place for each of: reason classes, shard count, strict files, sleep

Found by reading the whole change for what stands twice. Behaviour is as before, but that a refused call to a target that is no longer there counts as one that put no load on the service.

--- a/internal/base/sqid/id.go
+++ b/internal/base/sqid/id.go
@@ -39,6 +39,9 @@
 // ShardID names one shard of the shared state.
 type ShardID uint16
 
+// ShardCount is the number of shards of a data centre's shared state.
+const ShardCount = 64
+
 // Epoch counts the versions of a data centre's keepers record.
 type Epoch uint64
 
--- a/internal/base/sqreason/reason.go
+++ b/internal/base/sqreason/reason.go
@@ -96,6 +96,25 @@
 	return http.StatusInternalServerError
 }
 
+// Overload reports whether the reason says that a target is full.
+func (r Refusal) Overload() bool {
+	switch r {
+	case ShedQueueFull, ShedImportance, ShedFairness, ShedDeadline, ShedByTarget:
+		return true
+	}
+	return false
+}
+
+// Gone reports whether the reason says that a target is leaving, or can't be
+// reached; it tells nothing of its load.
+func (r Refusal) Gone() bool {
+	switch r {
+	case TargetDraining, TargetNone, TargetUnreachable, PeerUnreachable, Stopping:
+		return true
+	}
+	return false
+}
+
 // Refusals returns every reason of the vocabulary, in no order.
 func Refusals() []Refusal {
 	all := make([]Refusal, 0, len(refusals))
--- /dev/null
+++ b/internal/base/sqtimer/sleep.go
@@ -0,0 +1,21 @@
+package sqtimer
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d, and returns ctx's error if ctx ends before.
+func Sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/edge/sqclaim/books.go
+++ b/internal/edge/sqclaim/books.go
@@ -34,9 +34,6 @@
 	// MaxTimeout bounds the time that an operation may take.
 	MaxTimeout = 2 * time.Minute
 
-	// MaxAnswerBytes bounds the body of an answer that is kept for repeats.
-	MaxAnswerBytes = 64 << 10
-
 	shardEntries = 4096
 	shardBytes   = squnit.Bytes(2 << 20)
 
@@ -98,7 +95,7 @@
 	// believes that it knows them all.
 	unbacked bool
 
-	shards [sqoperation.Shards]shard
+	shards [sqid.ShardCount]shard
 	once   sync.Once
 	dial   func(address string) (sqclaimwire.ClaimsClient, error)
 }
--- a/internal/edge/sqclaim/operation.go
+++ b/internal/edge/sqclaim/operation.go
@@ -157,7 +157,7 @@
 // Mint returns a fresh key whose home is in this data centre, empty if no
 // keeper is known.
 func (b *Books) Mint(now time.Time) string {
-	shard := sqid.ShardID(rand.IntN(sqoperation.Shards))
+	shard := sqid.ShardID(rand.IntN(sqid.ShardCount))
 	_, since, ok := b.Keepers.Home(b.DataCentre, shard)
 	if !ok {
 		return ""
--- a/internal/edge/sqdaemon/stop.go
+++ b/internal/edge/sqdaemon/stop.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqtimer"
 )
 
 const (
@@ -27,7 +29,7 @@
 	ctx, cancel := context.WithTimeout(now, time.Duration(d.Settings.StopTimeout))
 	defer cancel()
 	d.leave(ctx)
-	sleep(ctx, settleTime)
+	_ = sqtimer.Sleep(ctx, settleTime)
 	d.targets.DrainAll()
 	var wg sync.WaitGroup
 	wg.Go(func() { d.callers.shutdown(ctx, d.Logger) })
@@ -61,7 +63,7 @@
 // drained waits until no call runs at the local targets.
 func (d *Daemon) drained(ctx context.Context) {
 	for d.targets.Running()+d.calls.Len() > 0 && ctx.Err() == nil {
-		sleep(ctx, drainPoll)
+		_ = sqtimer.Sleep(ctx, drainPoll)
 	}
 }
 
@@ -78,12 +80,3 @@
 		<-done
 	}
 }
-
-func sleep(ctx context.Context, t time.Duration) {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/edge/sqentry/entry.go
+++ b/internal/edge/sqentry/entry.go
@@ -170,7 +170,6 @@
 	q.nonIdempotent = route.NonIdempotent
 	q.credit, q.weight = route.Retries, route.Plan.Weight
 	q.root = string(sqid.NewCallID())
-	q.key = key
 	return q, nil
 }
 
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -12,6 +12,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqtimer"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqretry"
@@ -37,7 +38,6 @@
 	service       sqid.ServiceID
 	path          string
 	method        string
-	key           string
 	workspace     sqid.WorkspaceID
 	kind          string
 	importance    squnit.Importance
@@ -63,6 +63,7 @@
 	cancel   context.CancelFunc
 	tried    []sqtarget.ID
 	reroutes int
+	tries    int
 	sheds    int
 	// mayHaveRun is set once the outcome of an attempt is not certain.
 	mayHaveRun bool
@@ -165,16 +166,17 @@
 		q.entry.Metrics.Retries.WithLabelValues(string(sqreason.RetryPeerDown)).Inc()
 		return true
 	}
+	q.tries++
 	now := time.Now()
 	budget := q.entry.Router.budget(q.service)
-	if shedReason(e.Reason) {
+	if e.Reason.Overload() {
 		q.sheds++
 	}
 	verdict := sqretry.Decide(newRand(), sqretry.Attempt{
 		NonIdempotent: q.nonIdempotent,
 		Run:           e.Run,
 		Reason:        e.Reason,
-		Tries:         len(q.tried) - q.reroutes,
+		Tries:         q.tries,
 		Sheds:         q.sheds,
 		Left:          q.deadline.Sub(now),
 		Usual:         q.entry.Router.Route.Usual(q.service),
@@ -192,13 +194,13 @@
 	if !verdict.ElsewhereOnly {
 		q.tried = nil
 	}
-	return q.pause(verdict.Backoff)
+	return sqtimer.Sleep(q.ctx, verdict.Backoff) == nil
 }
 
 // reroute reports whether a refusal only says that the target is leaving or
 // gone: another place is asked then at no credit, a bounded number of times.
 func (q *request) reroute(e *sqerror.Error) bool {
-	if e.Run != squnit.RunNot || !leaving(e.Reason) || q.reroutes >= maxReroutes || !q.body.again() {
+	if e.Run != squnit.RunNot || !e.Reason.Gone() || q.reroutes >= maxReroutes || !q.body.again() {
 		return false
 	}
 	if q.ctx.Err() != nil || !time.Now().Before(q.deadline) {
@@ -208,41 +210,6 @@
 	return true
 }
 
-// pause waits, and reports whether the request still stands after that.
-func (q *request) pause(d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-q.ctx.Done():
-		return false
-	}
-}
-
-// shedReason reports whether a refusal says that a target is full.
-func shedReason(reason sqreason.Refusal) bool {
-	switch reason {
-	case sqreason.ShedQueueFull, sqreason.ShedImportance, sqreason.ShedFairness,
-		sqreason.ShedDeadline, sqreason.ShedByTarget:
-		return true
-	}
-	return false
-}
-
-// leaving reports whether a refusal says that a target is going, or gone.
-func leaving(reason sqreason.Refusal) bool {
-	switch reason {
-	case sqreason.TargetDraining, sqreason.TargetNone, sqreason.Stopping,
-		sqreason.PeerUnreachable, sqreason.TargetUnreachable:
-		return true
-	}
-	return false
-}
-
 // class is what the request's shedding is decided by.
 func (q *request) class() sqshed.Class {
 	return sqshed.Class{Service: q.service, Route: q.kind, Workspace: q.workspace}
--- a/internal/edge/sqentry/router.go
+++ b/internal/edge/sqentry/router.go
@@ -92,7 +92,7 @@
 		return sqadmit.OK
 	case refusal.Reason == sqreason.CallerGone:
 		return sqadmit.Cancelled
-	case refusal.Run == squnit.RunNot && leaving(refusal.Reason):
+	case refusal.Run == squnit.RunNot && refusal.Reason.Gone():
 		return sqadmit.Unreachable
 	case refusal.Run == squnit.RunNot:
 		return sqadmit.Shed
--- a/internal/edge/sqledger/borrow.go
+++ b/internal/edge/sqledger/borrow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqtimer"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqledgerwire"
 )
@@ -126,7 +127,7 @@
 			return
 		}
 		if dc == "" {
-			if sleep(ctx, pause) != nil {
+			if sqtimer.Sleep(ctx, pause) != nil {
 				return
 			}
 			continue
--- a/internal/edge/sqledger/entry.go
+++ b/internal/edge/sqledger/entry.go
@@ -10,6 +10,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqtimer"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqledgerwire"
 )
@@ -142,7 +143,7 @@
 			l.suspects.add(address, s, time.Now().Add(suspectTerm))
 			return notKeeping, nil
 		}
-		if err := sleep(ctx, wait); err != nil {
+		if err := sqtimer.Sleep(ctx, wait); err != nil {
 			return notKeeping, err
 		}
 		wait *= 2
@@ -184,14 +185,3 @@
 		return notKeeping, ctx.Err()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/edge/sqledger/handover.go
+++ b/internal/edge/sqledger/handover.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqtimer"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
@@ -143,7 +144,7 @@
 		if err == nil {
 			return nil
 		}
-		if sleep(ctx, retryPause) != nil {
+		if sqtimer.Sleep(ctx, retryPause) != nil {
 			return errors.Wrap(err, "handover is not in the record")
 		}
 	}
--- a/internal/policy/sqoperation/key.go
+++ b/internal/policy/sqoperation/key.go
@@ -15,9 +15,6 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 )
 
-// Shards is the number of shards of a data centre's shared state.
-const Shards = 64
-
 const (
 	mintedPrefix = "sqop"
 	mintedParts  = 6
@@ -53,7 +50,7 @@
 	best := slices.MaxFunc(centres, func(a, b sqid.DataCentreID) int {
 		return cmp.Or(cmp.Compare(weight(a, name), weight(b, name)), cmp.Compare(a, b))
 	})
-	return Home{DataCentre: best, Shard: sqid.ShardID(xxhash.Sum64String(name) % Shards)}, nil
+	return Home{DataCentre: best, Shard: sqid.ShardID(xxhash.Sum64String(name) % sqid.ShardCount)}, nil
 }
 
 // weight is that of rendezvous hashing (Thaler and Ravishankar, 1998): a data
@@ -69,7 +66,7 @@
 		return Home{}, errors.Errorf("minted key has %d parts, not %d", len(parts), mintedParts)
 	}
 	shard, err := strconv.ParseUint(parts[2], 10, 16)
-	if err != nil || shard >= Shards {
+	if err != nil || shard >= sqid.ShardCount {
 		return Home{}, errors.Errorf("minted key names no shard: %q", parts[2])
 	}
 	epoch, err := strconv.ParseUint(parts[3], 10, 64)
--- a/internal/policy/sqretry/decide.go
+++ b/internal/policy/sqretry/decide.go
@@ -62,7 +62,7 @@
 	if final(a.Reason) || a.FailedBelow {
 		return no(sqreason.NoRetryFinal)
 	}
-	shed := overload(a.Reason)
+	shed := a.Reason.Overload()
 	switch {
 	case a.NonIdempotent && a.Run != squnit.RunNot:
 		return no(sqreason.NoRetryUncertain)
@@ -98,27 +98,16 @@
 	return false
 }
 
-// overload reports whether a refusal says that a target is full.
-func overload(r sqreason.Refusal) bool {
-	switch r {
-	case sqreason.ShedQueueFull, sqreason.ShedImportance, sqreason.ShedFairness,
-		sqreason.ShedDeadline, sqreason.ShedByTarget:
-		return true
-	}
-	return false
-}
-
 // costsNothing reports whether the attempt put no load on the service, so that
 // another does not add to it.
 func costsNothing(a Attempt) bool {
-	return a.Run == squnit.RunNot && (a.Reason == sqreason.PeerUnreachable ||
-		a.Reason == sqreason.TargetUnreachable || a.Reason == sqreason.TargetDraining || a.Reason == sqreason.Stopping)
+	return a.Run == squnit.RunNot && a.Reason.Gone()
 }
 
 // why returns the reason of a retry that is made.
 func why(a Attempt) sqreason.Retry {
 	switch {
-	case overload(a.Reason):
+	case a.Reason.Overload():
 		return sqreason.RetryShedOnce
 	case a.Reason == sqreason.PeerUnreachable || a.Reason == sqreason.TargetUnreachable:
 		return sqreason.RetryPeerDown
--- a/internal/standin/sqexperiment/file.go
+++ b/internal/standin/sqexperiment/file.go
@@ -5,14 +5,11 @@
 package sqexperiment
 
 import (
-	"bytes"
-	"os"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/pelletier/go-toml/v2"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
@@ -108,13 +105,9 @@
 
 // Load reads an experiment.
 func Load(name string) (*File, error) {
-	text, err := os.ReadFile(name)
-	if err != nil {
-		return nil, errors.Wrap(err, "read experiment")
-	}
 	var f File
-	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&f); err != nil {
-		return nil, errors.Wrapf(err, "decode %s", name)
+	if err := sqsettings.ReadFile(name, &f); err != nil {
+		return nil, err
 	}
 	if len(f.Variants) == 0 {
 		f.Variants = []Variant{{Name: "sequoiatack"}}
--- a/internal/standin/sqload/config.go
+++ b/internal/standin/sqload/config.go
@@ -4,13 +4,10 @@
 package sqload
 
 import (
-	"bytes"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/pelletier/go-toml/v2"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
@@ -115,13 +112,9 @@
 
 // LoadConfig reads a Config from a TOML file.
 func LoadConfig(file string) (Config, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return Config{}, errors.Wrap(err, "read load settings")
-	}
 	var cfg Config
-	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&cfg); err != nil {
-		return Config{}, errors.Wrapf(err, "decode %s", file)
+	if err := sqsettings.ReadFile(file, &cfg); err != nil {
+		return Config{}, err
 	}
 	return cfg, cfg.Check()
 }
--- a/internal/standin/sqload/run.go
+++ b/internal/standin/sqload/run.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqtimer"
 )
 
 // Run sends the load until its duration is over or ctx ends, waits for the
@@ -74,7 +75,7 @@
 	}
 	for n := 0; ; n++ {
 		at, ok := schedule.Next()
-		if !ok || at >= time.Duration(r.cfg.Duration) || !sleepUntil(ctx, r.start.Add(at)) {
+		if !ok || at >= time.Duration(r.cfg.Duration) || sqtimer.Sleep(ctx, time.Until(r.start.Add(at))) != nil {
 			return
 		}
 		route := s.pickRoute()
@@ -97,21 +98,6 @@
 	r.samples = append(r.samples, s)
 }
 
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	d := time.Until(t)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *sender) pickRoute() *Route {
 	total := 0.0
 	for i := range s.space.Routes {
@@ -159,7 +145,7 @@
 	}
 	entry := ""
 	for n := 0; n <= s.space.Repeats; n++ {
-		if n > 0 && !sleepUntil(ctx, time.Now().Add(time.Duration(s.space.Backoff))) {
+		if n > 0 && sqtimer.Sleep(ctx, time.Duration(s.space.Backoff)) != nil {
 			break
 		}
 		entry = s.pickEntry(entry)
--- a/internal/standin/sqtargetstand/announce.go
+++ b/internal/standin/sqtargetstand/announce.go
@@ -12,6 +12,7 @@
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqtimer"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 )
 
@@ -48,7 +49,7 @@
 		if within, err := t.announce(ctx); err == nil {
 			wait = min(within/renewals, renewEvery)
 		}
-		sleep(ctx, wait)
+		_ = sqtimer.Sleep(ctx, wait)
 	}
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
 	defer cancel()
@@ -60,9 +61,9 @@
 }
 
 func (t *Target) waitIdle(ctx context.Context) {
-	sleep(ctx, goneAfter)
+	_ = sqtimer.Sleep(ctx, goneAfter)
 	for (len(t.slots) > 0 || t.waiting.Load() > 0) && ctx.Err() == nil {
-		sleep(ctx, lateAfter)
+		_ = sqtimer.Sleep(ctx, lateAfter)
 	}
 }
 
--- a/internal/standin/sqtargetstand/call.go
+++ b/internal/standin/sqtargetstand/call.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqtimer"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 )
 
@@ -82,7 +83,7 @@
 		<-r.Context().Done()
 		return OutcomeCancelled
 	}
-	if !sleep(r.Context(), t.serviceTime(time.Now())) {
+	if sqtimer.Sleep(r.Context(), t.serviceTime(time.Now())) != nil {
 		return OutcomeCancelled
 	}
 	if err := t.callNested(r, n); err != nil {
@@ -96,21 +97,6 @@
 	return t.answer(w, r, n, squnit.Bytes(size))
 }
 
-// sleep waits for d; it reports false if ctx ended before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (t *Target) answer(w http.ResponseWriter, r *http.Request, n uint64, size squnit.Bytes) Outcome {
 	b := t.behaviour.get()
 	id := r.Header.Get(RequestIDHeader)
--- a/internal/standin/sqtargetstand/config.go
+++ b/internal/standin/sqtargetstand/config.go
@@ -5,13 +5,10 @@
 package sqtargetstand
 
 import (
-	"bytes"
 	"math/rand/v2"
-	"os"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/pelletier/go-toml/v2"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
@@ -82,13 +79,9 @@
 
 // Load reads a Config from a TOML file.
 func Load(file string) (Config, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return Config{}, errors.Wrap(err, "read target settings")
-	}
 	var cfg Config
-	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&cfg); err != nil {
-		return Config{}, errors.Wrapf(err, "decode %s", file)
+	if err := sqsettings.ReadFile(file, &cfg); err != nil {
+		return Config{}, err
 	}
 	return cfg, cfg.Check()
 }
--- a/internal/state/sqkeeper/record.go
+++ b/internal/state/sqkeeper/record.go
@@ -23,7 +23,7 @@
 
 const (
 	// ShardCount is the number of shards of a data centre's shared state.
-	ShardCount = 64
+	ShardCount = sqid.ShardCount
 	// RosterSize is the largest number of daemons in a roster.
 	RosterSize = 5
 	// openLimit bounds the earlier rosters that a record carries.
