Be ready only once the assigned shards are kept

Cause: a lone daemon that was started again said ready while its takeover from its former life still waited, and answered ledger-unavailable.

--- a/internal/edge/sqdaemon/daemon.go
+++ b/internal/edge/sqdaemon/daemon.go
@@ -154,7 +154,7 @@
 func (d *Daemon) settle(now time.Time) {
 	switch {
 	case d.wasSettled.Load():
-	case !d.ledger.Settled():
+	case !d.ledger.Settled(now):
 		d.unsettled = now
 	case now.Sub(d.unsettled) >= settledFor:
 		d.wasSettled.Store(true)
--- a/internal/edge/sqdaemon/stop.go
+++ b/internal/edge/sqdaemon/stop.go
@@ -40,7 +40,7 @@
 	d.stopPeers(ctx)
 	d.admin.shutdown(ctx, d.Logger)
 	if cut > 0 {
-		return errors.Errorf("stop: %d calls were cut", cut)
+		return errors.Errorf("stop: calls cut: %d", cut)
 	}
 	d.Logger.Info("stopped")
 	return nil
--- a/internal/edge/sqledger/backup.go
+++ b/internal/edge/sqledger/backup.go
@@ -81,9 +81,15 @@
 }
 
 // Settled reports whether the data centre spends its whole share: all data
-// centres of the newest set that is known have agreed on it.
-func (l *Ledger) Settled() bool {
+// centres of the newest set that is known have agreed on it, and this daemon
+// keeps the shards that it is assigned.
+func (l *Ledger) Settled(now time.Time) bool {
 	newest := l.Shares()
+	for s := range sqid.ShardID(sqkeeper.ShardCount) {
+		if _, assigned := l.Assigned(s); assigned && !l.Keeping(s, now) {
+			return false
+		}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.records[l.DataCentre]
--- a/internal/edge/sqledger/upkeep.go
+++ b/internal/edge/sqledger/upkeep.go
@@ -61,7 +61,7 @@
 	d.balance.start(t, now, balancePeriod, func() { l.balance(ctx) })
 	if l.rank() == 0 {
 		period := pollPeriod
-		if !l.Settled() {
+		if !l.Settled(now) {
 			period = settlePoll
 		}
 		d.poll.start(t, now, period, func() { l.poll(ctx) })
