--- /dev/null
+++ b/internal/edge/sqheader/header_test.go
@@ -0,0 +1,43 @@
+package sqheader_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
+)
+
+// FuzzHeaders gives a request's headers any form: no key and none of the
+// system's own headers pass on, and a timeout that is taken is positive.
+func FuzzHeaders(f *testing.F) {
+	f.Add("Bearer sq_1", "1500ms", "close, X-Own", "text/plain")
+	f.Add("bearer  ", "-1s", "Authorization", "")
+	f.Add("Basic YTpi", "1e9h", ",,", "x\x00y")
+	f.Fuzz(func(t *testing.T, authorization, timeout, connection, other string) {
+		h := http.Header{
+			"Authorization": {authorization}, "Sequoia-Timeout": {timeout}, "Sequoia-Call": {"forged"},
+			"Connection": {connection}, "Proxy-Authorization": {other}, "Content-Type": {other}, "X-Own": {other},
+		}
+		key, err := sqheader.Key(h)
+		qt.Assert(t, err != nil && key != "", qt.IsFalse)
+		if d, err := sqheader.TimeoutOf(h); err == nil && timeout != "" {
+			qt.Assert(t, d > 0, qt.IsTrue)
+		}
+		for _, x := range sqheader.Outward(h) {
+			qt.Assert(t, strings.HasPrefix(x.GetName(), "Sequoia-"), qt.IsFalse)
+			qt.Assert(t, strings.Contains(x.GetName(), "uthorization"), qt.IsFalse)
+		}
+	})
+}
+
+// TestConnectionHeadersStay has headers that the Connection header makes its
+// own (RFC 9110, section 7.6.1).
+func TestConnectionHeadersStay(t *testing.T) {
+	h := http.Header{"Connection": {"close, x-own"}, "X-Own": {"1"}, "X-Other": {"2"}}
+	out := sqheader.Outward(h)
+	qt.Assert(t, out, qt.HasLen, 1)
+	qt.Assert(t, out[0].GetName(), qt.Equals, "X-Other")
+}
