Drop what nothing uses, and name the run header once

Gone: the ledger's observers of shards, which nobody subscribed to and which were worked out for 64 shards at each tick; the ledger's unused metrics; an answer's status kept beside its head; an error of build that was always nil; a second constant for Sequoia-Run. Behaviour is as before.

--- a/internal/edge/sqadmin/lists.go
+++ b/internal/edge/sqadmin/lists.go
@@ -13,6 +13,7 @@
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqproblem"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
 )
@@ -51,7 +52,7 @@
 	}
 	s.Logger.Info("change accepted", "list", kindOf(r), "revision", revision, "operator", digestOf(r))
 	w.Header().Set("ETag", etag(revision))
-	w.Header().Set(sqproblem.RunHeader, squnit.RunDone.String())
+	w.Header().Set(sqheader.Run, squnit.RunDone.String())
 	writeJSON(w, Accepted{Revision: revision})
 }
 
--- a/internal/edge/sqclaim/books.go
+++ b/internal/edge/sqclaim/books.go
@@ -176,7 +176,7 @@
 	return s.copy.since
 }
 
-// Tick forgets operations past the horizon and sees to the backups.
+// Tick forgets the operations that are past the horizon.
 func (b *Books) Tick(now time.Time) {
 	b.init()
 	for i := range b.shards {
--- a/internal/edge/sqclaim/duty.go
+++ b/internal/edge/sqclaim/duty.go
@@ -190,8 +190,8 @@
 	return parts
 }
 
-// completeAge is how long ago a book became complete, -1 for always. A time
-// to come has a negative age below that.
+// completeAge returns how long ago a book became complete, in microseconds;
+// a time to come has a negative age.
 func completeAge(book *sqoperation.Book, now time.Time) int64 {
 	if book.CompleteSince.IsZero() {
 		return alwaysComplete
--- a/internal/edge/sqdaemon/build.go
+++ b/internal/edge/sqdaemon/build.go
@@ -39,7 +39,7 @@
 )
 
 // build makes the parts and subscribes the systems to the timer.
-func (d *Daemon) build() error {
+func (d *Daemon) build() {
 	d.began = time.Now()
 	d.unsettled = d.began
 	d.incarnation = sqid.Incarnation(d.began.UnixMilli())
@@ -55,7 +55,6 @@
 	d.buildBooks()
 	d.buildPath()
 	d.buildPeers()
-	return nil
 }
 
 func (d *Daemon) buildMember() {
@@ -101,7 +100,7 @@
 	d.ledger = &sqledger.Ledger{
 		Self:       sqkeeper.Member{Daemon: s.DaemonName, Incarnation: d.incarnation, PeerAddress: s.PeerAddress},
 		DataCentre: s.DataCentre, Store: d.platform, Conn: d.pool,
-		Members: members{d.member}, Plans: d.holder, Facts: facts{d}, Metrics: d.metrics, Log: d.Logger,
+		Members: members{d.member}, Plans: d.holder, Facts: facts{d}, Log: d.Logger,
 		Distance: d.distance,
 	}
 	d.timer.Subscribe(sqledger.TickPeriod, d.ledger)
--- a/internal/edge/sqdaemon/daemon.go
+++ b/internal/edge/sqdaemon/daemon.go
@@ -77,9 +77,7 @@
 // Run serves until ctx ends and then stops gracefully: its error is nil if no
 // request was cut. A second end, that of now, cuts what is still under way.
 func (d *Daemon) Run(ctx, now context.Context) error {
-	if err := d.build(); err != nil {
-		return err
-	}
+	d.build()
 	defer d.pool.Close()
 	defer d.platform.Close()
 	if err := d.listen(); err != nil {
--- a/internal/edge/sqentry/answer.go
+++ b/internal/edge/sqentry/answer.go
@@ -27,7 +27,6 @@
 
 	begun   bool
 	last    bool
-	status  int
 	refusal *sqerror.Error
 	load    *sqcallwire.Load
 	credit  squnit.Credit
@@ -69,14 +68,13 @@
 
 func (a *answer) begin(head *sqcallwire.AnswerHead) {
 	a.begun = true
-	a.status = int(head.GetStatus())
 	h := a.w.Header()
 	sqheader.Set(h, head.GetHeaders())
 	a.prepare(h, squnit.RunState(head.GetRun()))
 	if head.GetContentLength() >= 0 {
 		h.Set("Content-Length", formatLength(head.GetContentLength()))
 	}
-	a.w.WriteHeader(a.status)
+	a.w.WriteHeader(int(head.GetStatus()))
 }
 
 func (a *answer) write(frame *sqcallwire.AnswerFrame) error {
--- a/internal/edge/sqledger/home.go
+++ b/internal/edge/sqledger/home.go
@@ -16,44 +16,6 @@
 	DataCentre sqid.DataCentreID
 }
 
-// Watcher is told of the shards that this daemon begins and ceases to keep.
-// A shard whose evidence lapses is lost and gained again with the same epoch;
-// with another epoch, other daemons may have kept it in between.
-type Watcher interface {
-	// Gained is called when the daemon begins to keep a shard that it was
-	// assigned at the epoch.
-	Gained(s sqid.ShardID, epoch sqid.Epoch)
-	// Lost is called when the daemon no longer keeps the shard.
-	Lost(s sqid.ShardID)
-}
-
-type change struct {
-	shard  sqid.ShardID
-	epoch  sqid.Epoch
-	gained bool
-}
-
-// Watch has w told of the changes from now on. The calls come one at a time,
-// up to a tick late; what a decision rests on is Keeping. They must not block
-// and must not call the Ledger.
-func (l *Ledger) Watch(w Watcher) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.watchers = append(l.watchers, w)
-}
-
-func (l *Ledger) notify(changes []change) {
-	for _, w := range l.watchers {
-		for _, c := range changes {
-			if c.gained {
-				w.Gained(c.shard, c.epoch)
-			} else {
-				w.Lost(c.shard)
-			}
-		}
-	}
-}
-
 // Home returns the keeper of a data centre's shard, and false if this daemon
 // knows of none. The epoch is that at which the keeper was assigned the shard.
 func (l *Ledger) Home(dc sqid.DataCentreID, s sqid.ShardID) (Home, bool) {
--- a/internal/edge/sqledger/ledger.go
+++ b/internal/edge/sqledger/ledger.go
@@ -14,7 +14,6 @@
 	"google.golang.org/grpc"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
-	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
@@ -69,9 +68,7 @@
 	Facts Facts
 	// Distance orders the data centres, nearest first; nil takes them by name.
 	Distance func(sqid.DataCentreID) time.Duration
-	// Metrics may be nil.
-	Metrics *sqmetric.Set
-	Log     logr.Logger
+	Log      logr.Logger
 	// Terms are those of all daemons; the zero value is DefaultTerms.
 	Terms sqkeeper.Terms
 
@@ -93,7 +90,6 @@
 	machine  sqkeeper.Machine
 	records  map[sqid.DataCentreID]*sqkeeper.Record
 	shares   sqkeeper.SharesSet
-	watchers []Watcher
 	givers   []Giver
 	stopping bool
 	followed map[sqid.DataCentreID]bool
@@ -204,20 +200,15 @@
 		v.records, v.order = l.snapshot()
 		v.recordsAt++
 	}
-	var changes []change
 	for s := range sqid.ShardID(sqkeeper.ShardCount) {
 		if from, ok := l.machine.SpendFrom(s); ok {
 			v.spendFrom[s], v.since[s] = from, l.machine.Since(s)
 		}
-		if was, is := old.keeping(s, now), v.keeping(s, now); was != is {
-			changes = append(changes, change{shard: s, epoch: l.machine.Since(s), gained: is})
-		}
 	}
 	if l.unfenced {
 		l.unfence(v, now)
 	}
 	l.view.Store(v)
-	l.notify(changes)
 }
 
 func (l *Ledger) unfence(v *view, now time.Time) {
--- a/internal/edge/sqproblem/problem.go
+++ b/internal/edge/sqproblem/problem.go
@@ -13,13 +13,12 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
 )
 
 const (
 	// ContentType is the media type of a problem.
 	ContentType = "application/problem+json"
-	// RunHeader tells whether the request has run: run, not-run or unknown.
-	RunHeader = "Sequoia-Run"
 
 	typePrefix         = "urn:sequoiatack:problem:"
 	typeNone           = "about:blank"
@@ -88,7 +87,7 @@
 	h.Set("Content-Type", ContentType)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set("X-Content-Type-Options", "nosniff")
-	h.Set(RunHeader, p.Run)
+	h.Set(sqheader.Run, p.Run)
 	if p.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
 	}
