--- a/internal/edge/sqclaim/duty.go
+++ b/internal/edge/sqclaim/duty.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqoperation"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqclaimwire"
@@ -109,7 +109,7 @@
 		b.Logger.Error(err, "backups are not in the record", "shards", len(backups))
 	}
 	for id := range backups {
-		if errors.Is(err, sqplatform.ErrUncertain) {
+		if errors.Is(err, sqkv.ErrUncertain) {
 			b.doubt(id, records[id])
 			continue
 		}
--- a/internal/edge/sqclaim/world_test.go
+++ b/internal/edge/sqclaim/world_test.go
@@ -12,7 +12,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqoperation"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqclaimwire"
@@ -163,7 +163,7 @@
 // SetBackups changes the record; its answer may be lost after that.
 func (d *daemon) SetBackups(_ context.Context, backups map[sqid.ShardID]sqkeeper.Member) error {
 	if d.w.out {
-		return sqplatform.ErrUnavailable
+		return sqkv.ErrUnavailable
 	}
 	next, ok := d.w.record.WithBackups(d.member, backups, all)
 	if !ok {
@@ -171,7 +171,7 @@
 	}
 	d.w.record = next
 	if d.w.rng.Float64() < d.w.loss {
-		return sqplatform.ErrUncertain
+		return sqkv.ErrUncertain
 	}
 	d.w.learn()
 	return nil
--- a/internal/edge/sqgossip/seeding.go
+++ b/internal/edge/sqgossip/seeding.go
@@ -12,7 +12,7 @@
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqmember"
 )
 
@@ -33,9 +33,9 @@
 
 // SeedStore is the part of the platform's service that holds seed records.
 type SeedStore interface {
-	Get(ctx context.Context, key string) (sqplatform.Record, error)
-	List(ctx context.Context, prefix string) ([]sqplatform.Record, sqplatform.Version, error)
-	Swap(ctx context.Context, key string, expected sqplatform.Version, value []byte, lease sqplatform.LeaseID) (sqplatform.Version, error)
+	Get(ctx context.Context, key string) (sqkv.Record, error)
+	List(ctx context.Context, prefix string) ([]sqkv.Record, sqkv.Version, error)
+	Swap(ctx context.Context, key string, expected sqkv.Version, value []byte, lease sqkv.LeaseID) (sqkv.Version, error)
 }
 
 // Seeding finds first peers in the platform's seed records and keeps the
@@ -47,7 +47,7 @@
 	Logger logr.Logger
 
 	held    []string
-	version sqplatform.Version
+	version sqkv.Version
 	next    time.Time
 }
 
@@ -134,7 +134,7 @@
 		return errors.Wrap(err, "encode")
 	}
 	version, err := s.Store.Swap(ctx, key, r.Version, value, 0)
-	if errors.Is(err, sqplatform.ErrConflict) {
+	if errors.Is(err, sqkv.ErrConflict) {
 		// The other watcher was first; the next look reads what it wrote.
 		s.next = time.Time{}
 		return nil
--- a/internal/edge/sqledger/backup.go
+++ b/internal/edge/sqledger/backup.go
@@ -101,7 +101,7 @@
 
 // SetBackups names the backups of shards that this daemon keeps in the record;
 // a member without a name takes a shard's backup away. Its error is
-// sqplatform.ErrUncertain if the record may have changed.
+// sqkv.ErrUncertain if the record may have changed.
 func (l *Ledger) SetBackups(ctx context.Context, backups map[sqid.ShardID]sqkeeper.Member) error {
 	l.init()
 	err := errNotKept
--- a/internal/edge/sqledger/fleet_test.go
+++ b/internal/edge/sqledger/fleet_test.go
@@ -13,7 +13,7 @@
 	"github.com/go-logr/logr/funcr"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
@@ -104,7 +104,7 @@
 func newFleet(t testing.TB, seed uint64) *fleet {
 	f := &fleet{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), loads: rand.New(rand.NewPCG(seed, 2)),
-		store:       &memory{records: make(map[string]sqplatform.Record)},
+		store:       &memory{records: make(map[string]sqkv.Record)},
 		nodes:       make(map[string]*node),
 		suspected:   make(map[sqkeeper.Member]bool),
 		leaving:     make(map[sqkeeper.Member]bool),
--- a/internal/edge/sqledger/ledger.go
+++ b/internal/edge/sqledger/ledger.go
@@ -14,7 +14,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
@@ -60,7 +60,7 @@
 	// Self is this life of this daemon.
 	Self       sqkeeper.Member
 	DataCentre sqid.DataCentreID
-	Store      sqplatform.Store
+	Store      sqkv.Store
 	Conn       ConnPool
 	Members    Members
 	Plans      Plans
--- a/internal/edge/sqledger/platform_test.go
+++ b/internal/edge/sqledger/platform_test.go
@@ -8,15 +8,15 @@
 	"sync"
 	"time"
 
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 )
 
 // memory is a platform in memory that can be down, cut off, or lose answers.
 type memory struct {
 	mu      sync.Mutex
-	version sqplatform.Version
-	records map[string]sqplatform.Record
-	old     map[string]sqplatform.Record
+	version sqkv.Version
+	records map[string]sqkv.Record
+	old     map[string]sqkv.Record
 	down    bool
 	lose    bool
 	calls   int
@@ -36,7 +36,7 @@
 	m.records = maps.Clone(m.old)
 }
 
-func (m *memory) get(key string) sqplatform.Record {
+func (m *memory) get(key string) sqkv.Record {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.records[key]
@@ -44,7 +44,7 @@
 
 // access is one daemon's way to the platform.
 type access struct {
-	sqplatform.Store
+	sqkv.Store
 	m    *memory
 	n    *node
 	f    *fleet
@@ -61,7 +61,7 @@
 	defer a.m.mu.Unlock()
 	a.m.calls++
 	if ctx.Err() != nil || a.m.down || cut || a.n.isDead() {
-		return sqplatform.ErrUnavailable
+		return sqkv.ErrUnavailable
 	}
 	return nil
 }
@@ -72,9 +72,9 @@
 	return ctx.Err()
 }
 
-func (a access) Get(ctx context.Context, key string) (sqplatform.Record, error) {
+func (a access) Get(ctx context.Context, key string) (sqkv.Record, error) {
 	if err := a.enter(ctx); err != nil {
-		return sqplatform.Record{}, err
+		return sqkv.Record{}, err
 	}
 	a.m.mu.Lock()
 	r := a.m.records[key]
@@ -82,12 +82,12 @@
 	return r, a.leave(ctx)
 }
 
-func (a access) List(ctx context.Context, prefix string) ([]sqplatform.Record, sqplatform.Version, error) {
+func (a access) List(ctx context.Context, prefix string) ([]sqkv.Record, sqkv.Version, error) {
 	if err := a.enter(ctx); err != nil {
 		return nil, 0, err
 	}
 	a.m.mu.Lock()
-	var all []sqplatform.Record
+	var all []sqkv.Record
 	for _, r := range a.m.records {
 		if strings.HasPrefix(r.Key, prefix) {
 			all = append(all, r)
@@ -95,25 +95,25 @@
 	}
 	version := a.m.version
 	a.m.mu.Unlock()
-	slices.SortFunc(all, func(x, y sqplatform.Record) int { return strings.Compare(x.Key, y.Key) })
+	slices.SortFunc(all, func(x, y sqkv.Record) int { return strings.Compare(x.Key, y.Key) })
 	return all, version, a.leave(ctx)
 }
 
-func (a access) Swap(ctx context.Context, key string, expected sqplatform.Version, value []byte, _ sqplatform.LeaseID) (sqplatform.Version, error) {
+func (a access) Swap(ctx context.Context, key string, expected sqkv.Version, value []byte, _ sqkv.LeaseID) (sqkv.Version, error) {
 	if err := a.enter(ctx); err != nil {
 		return 0, err
 	}
 	a.m.mu.Lock()
 	if a.m.records[key].Version != expected {
 		a.m.mu.Unlock()
-		return 0, sqplatform.ErrConflict
+		return 0, sqkv.ErrConflict
 	}
 	a.m.version++
-	a.m.records[key] = sqplatform.Record{Key: key, Value: value, Version: a.m.version}
+	a.m.records[key] = sqkv.Record{Key: key, Value: value, Version: a.m.version}
 	lose, version := a.m.lose, a.m.version
 	a.m.mu.Unlock()
 	if err := a.leave(ctx); err != nil || lose {
-		return 0, sqplatform.ErrUncertain
+		return 0, sqkv.ErrUncertain
 	}
 	return version, nil
 }
--- a/internal/edge/sqledger/upkeep.go
+++ b/internal/edge/sqledger/upkeep.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
 )
 
@@ -127,7 +127,7 @@
 	return r != nil, err
 }
 
-func (l *Ledger) read(ctx context.Context) (*sqkeeper.Record, sqplatform.Version, error) {
+func (l *Ledger) read(ctx context.Context) (*sqkeeper.Record, sqkv.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	sent := time.Now()
@@ -368,7 +368,7 @@
 
 // known returns the newest record that this daemon knows, with the version of
 // what the platform holds in its place.
-func (l *Ledger) known(ctx context.Context) (*sqkeeper.Record, sqplatform.Version, error) {
+func (l *Ledger) known(ctx context.Context) (*sqkeeper.Record, sqkv.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	held, err := l.Store.Get(ctx, sqkeeper.Key(l.DataCentre))
@@ -377,7 +377,7 @@
 	return l.machine.Record(), held.Version, err
 }
 
-func (l *Ledger) write(ctx context.Context, n *sqkeeper.Record, version sqplatform.Version) error {
+func (l *Ledger) write(ctx context.Context, n *sqkeeper.Record, version sqkv.Version) error {
 	swapping, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	sent := time.Now()
--- a/internal/edge/sqplatform/client.go
+++ b/internal/edge/sqplatform/client.go
@@ -1,6 +1,7 @@
 package sqplatform
 
 import (
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"context"
 	"sync"
 	"time"
@@ -44,9 +45,9 @@
 	CallWatch  CallKind = "watch"
 )
 
-// Client is the Store that an etcd v3 service offers. Reads and lease calls
+// Client is the sqkv.Store that an etcd v3 service offers. Reads and lease calls
 // go to the next address if one does not answer; a write is sent once, and is
-// ErrUncertain if its answer is lost. Its methods may be called from several
+// sqkv.ErrUncertain if its answer is lost. Its methods may be called from several
 // goroutines.
 type Client struct {
 	// Addresses are those of the platform, as IP:port, the preferred first.
@@ -65,9 +66,9 @@
 	closed    bool
 }
 
-var _ Store = (*Client)(nil)
+var _ sqkv.Store = (*Client)(nil)
 
-// Close ends the client's connections; calls after it are ErrUnavailable.
+// Close ends the client's connections; calls after it are sqkv.ErrUnavailable.
 func (c *Client) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -198,7 +199,7 @@
 	for left := c.order(); len(left) > 0; {
 		conn, i, cerr := c.connect(ctx, left)
 		if cerr != nil {
-			return failure(kind, ErrUnavailable, cerr)
+			return failure(kind, sqkv.ErrUnavailable, cerr)
 		}
 		part, stop := partOf(ctx, len(left)-i)
 		err = call(part, conn)
@@ -209,7 +210,7 @@
 		c.avoid(left[i], err)
 		left = left[i+1:]
 	}
-	return failure(kind, ErrUnavailable, err)
+	return failure(kind, sqkv.ErrUnavailable, err)
 }
 
 // write makes a call once, on a connection that is up.
@@ -220,12 +221,12 @@
 	addresses := c.order()
 	conn, i, err := c.connect(ctx, addresses)
 	if err != nil {
-		return failure(kind, ErrUnavailable, err)
+		return failure(kind, sqkv.ErrUnavailable, err)
 	}
 	err = call(ctx, conn)
 	if err != nil && lost(err) {
 		c.avoid(addresses[i], err)
-		return failure(kind, ErrUncertain, err)
+		return failure(kind, sqkv.ErrUncertain, err)
 	}
 	return refusal(kind, err)
 }
@@ -237,7 +238,7 @@
 		codes.OutOfRange, codes.PermissionDenied, codes.Unauthenticated, codes.Unimplemented:
 		return false
 	}
-	return !errors.Is(err, ErrConflict) && !errors.Is(err, ErrLeaseEnded) && !errors.Is(err, ErrCompacted)
+	return !errors.Is(err, sqkv.ErrConflict) && !errors.Is(err, sqkv.ErrLeaseEnded) && !errors.Is(err, sqkv.ErrCompacted)
 }
 
 func failure(kind CallKind, what, err error) error {
@@ -249,7 +250,7 @@
 		return nil
 	}
 	if status.Code(err) == codes.NotFound {
-		err = errors.Wrap(ErrLeaseEnded, status.Convert(err).Message())
+		err = errors.Wrap(sqkv.ErrLeaseEnded, status.Convert(err).Message())
 	}
 	return sqerror.At(sqerror.StepPlatform, "", errors.Wrap(err, string(kind)))
 }
--- a/internal/edge/sqplatform/client_test.go
+++ b/internal/edge/sqplatform/client_test.go
@@ -14,6 +14,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/standin/sqstore"
 )
 
@@ -61,16 +62,16 @@
 	})
 }
 
-func testStore(t *testing.T, p sqplatform.Store, store *sqstore.Store) {
+func testStore(t *testing.T, p sqkv.Store, store *sqstore.Store) {
 	ctx := t.Context()
 	absent, err := p.Get(ctx, "a/1")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, absent, qt.DeepEquals, sqplatform.Record{Key: "a/1"})
+	qt.Assert(t, absent, qt.DeepEquals, sqkv.Record{Key: "a/1"})
 
 	first, err := p.Swap(ctx, "a/1", 0, []byte("x"), 0)
 	qt.Assert(t, err, qt.IsNil)
 	_, err = p.Swap(ctx, "a/1", 0, []byte("y"), 0)
-	qt.Assert(t, err, qt.ErrorIs, sqplatform.ErrConflict)
+	qt.Assert(t, err, qt.ErrorIs, sqkv.ErrConflict)
 	second, err := p.Swap(ctx, "a/1", first, []byte("z"), 0)
 	qt.Assert(t, err, qt.IsNil)
 	_, err = p.Swap(ctx, "a/2", 0, []byte("w"), 0)
@@ -80,7 +81,7 @@
 	records, version, err := p.List(ctx, "a/")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, version, qt.Equals, second+2)
-	qt.Assert(t, records, qt.DeepEquals, []sqplatform.Record{
+	qt.Assert(t, records, qt.DeepEquals, []sqkv.Record{
 		{Key: "a/1", Value: []byte("z"), Version: second},
 		{Key: "a/2", Value: []byte("w"), Version: second + 1},
 	})
@@ -93,7 +94,7 @@
 
 // testWrites checks what is said of writes that are lost before and after
 // they take effect, late, or overtaken.
-func testWrites(t *testing.T, p sqplatform.Store, store *sqstore.Store, version sqplatform.Version) {
+func testWrites(t *testing.T, p sqkv.Store, store *sqstore.Store, version sqkv.Version) {
 	ctx := t.Context()
 	for _, f := range []struct {
 		name   string
@@ -109,18 +110,18 @@
 		short, cancel := context.WithTimeout(ctx, shortTimeout)
 		_, err := p.Swap(short, "a/1", version, []byte(f.name), 0)
 		cancel()
-		qt.Assert(t, err, qt.ErrorIs, sqplatform.ErrUncertain, qt.Commentf(f.name))
+		qt.Assert(t, err, qt.ErrorIs, sqkv.ErrUncertain, qt.Commentf(f.name))
 		qt.Assert(t, store.Counts().Swap, qt.Equals, calls+1, qt.Commentf("%s: repeated blindly", f.name))
 		store.SetFaults(sqstore.Faults{})
 		got := eventually(t, p, "a/1", f.after)
 		version = got.Version
 	}
-	qt.Assert(t, p.Delete(ctx, "a/1", version-1), qt.ErrorIs, sqplatform.ErrConflict)
+	qt.Assert(t, p.Delete(ctx, "a/1", version-1), qt.ErrorIs, sqkv.ErrConflict)
 	qt.Assert(t, p.Delete(ctx, "a/1", version), qt.IsNil)
 }
 
 // eventually returns a key's record once it has a value.
-func eventually(t *testing.T, p sqplatform.Store, key, value string) sqplatform.Record {
+func eventually(t *testing.T, p sqkv.Store, key, value string) sqkv.Record {
 	t.Helper()
 	for range 200 {
 		r, err := p.Get(t.Context(), key)
@@ -131,11 +132,11 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	t.Fatalf("%s is not %q", key, value)
-	return sqplatform.Record{}
+	return sqkv.Record{}
 }
 
 // testWatches checks order and deletions.
-func testWatches(t *testing.T, p sqplatform.Store, store *sqstore.Store) {
+func testWatches(t *testing.T, p sqkv.Store, store *sqstore.Store) {
 	ctx := t.Context()
 	_, start, err := p.List(ctx, "w/")
 	qt.Assert(t, err, qt.IsNil)
@@ -152,7 +153,7 @@
 		qt.Check(t, p.Delete(ctx, "w/2", v), qt.IsNil)
 	}
 	go write()
-	err = p.Watch(ctx, "w/", start, func(e sqplatform.Event) error {
+	err = p.Watch(ctx, "w/", start, func(e sqkv.Event) error {
 		word := e.Record.Key + "=" + string(e.Record.Value)
 		if e.Deleted {
 			qt.Check(t, e.Record.Value, qt.IsNil)
@@ -169,11 +170,11 @@
 }
 
 // testWatchEnds checks compaction, restored older state and a watch given up.
-func testWatchEnds(t *testing.T, p sqplatform.Store, store *sqstore.Store, start sqplatform.Version) {
+func testWatchEnds(t *testing.T, p sqkv.Store, store *sqstore.Store, start sqkv.Version) {
 	ctx := t.Context()
 	store.Compact()
-	never := func(sqplatform.Event) error { return errors.New("no event was due") }
-	qt.Assert(t, p.Watch(ctx, "w/", start, never), qt.ErrorIs, sqplatform.ErrCompacted)
+	never := func(sqkv.Event) error { return errors.New("no event was due") }
+	qt.Assert(t, p.Watch(ctx, "w/", start, never), qt.ErrorIs, sqkv.ErrCompacted)
 
 	store.Save()
 	v, err := p.Swap(ctx, "w/3", 0, []byte("3"), 0)
@@ -182,10 +183,10 @@
 	go func() { ended <- p.Watch(ctx, "w/", v, never) }()
 	awaitWatching(t, store, 1)
 	store.Restore()
-	qt.Assert(t, <-ended, qt.ErrorIs, sqplatform.ErrUnavailable)
+	qt.Assert(t, <-ended, qt.ErrorIs, sqkv.ErrUnavailable)
 	r, err := p.Get(ctx, "w/3")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, r.Version, qt.Equals, sqplatform.Version(0))
+	qt.Assert(t, r.Version, qt.Equals, sqkv.Version(0))
 
 	short, cancel := context.WithCancel(ctx)
 	go func() { ended <- p.Watch(short, "w/", v, never) }()
@@ -203,33 +204,33 @@
 	}
 }
 
-func testLeases(t *testing.T, p sqplatform.Store) {
+func testLeases(t *testing.T, p sqkv.Store) {
 	ctx := t.Context()
 	lease, err := p.Grant(ctx, 100*time.Second)
 	qt.Assert(t, err, qt.IsNil)
 	_, err = p.Swap(ctx, "leased", 0, []byte("1"), lease)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, p.Renew(ctx, lease), qt.IsNil)
-	qt.Assert(t, p.Renew(ctx, lease+1000), qt.ErrorIs, sqplatform.ErrLeaseEnded)
+	qt.Assert(t, p.Renew(ctx, lease+1000), qt.ErrorIs, sqkv.ErrLeaseEnded)
 	_, err = p.Swap(ctx, "leased2", 0, []byte("1"), lease+1000)
-	qt.Assert(t, err, qt.ErrorIs, sqplatform.ErrLeaseEnded)
+	qt.Assert(t, err, qt.ErrorIs, sqkv.ErrLeaseEnded)
 }
 
 // testDown checks that nothing is claimed of a platform that does not answer,
 // and that the client comes back with it.
-func testDown(t *testing.T, p sqplatform.Store, store *sqstore.Store) {
+func testDown(t *testing.T, p sqkv.Store, store *sqstore.Store) {
 	ctx := t.Context()
 	ended := make(chan error)
-	go func() { ended <- p.Watch(ctx, "w/", 0, func(sqplatform.Event) error { return nil }) }()
+	go func() { ended <- p.Watch(ctx, "w/", 0, func(sqkv.Event) error { return nil }) }()
 	store.SetFaults(sqstore.Faults{Down: true})
 	err := <-ended
-	qt.Assert(t, errors.Is(err, sqplatform.ErrUnavailable) || errors.Is(err, sqplatform.ErrCompacted), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Assert(t, errors.Is(err, sqkv.ErrUnavailable) || errors.Is(err, sqkv.ErrCompacted), qt.IsTrue, qt.Commentf("%v", err))
 	_, err = p.Get(ctx, "a/2")
-	qt.Assert(t, err, qt.ErrorIs, sqplatform.ErrUnavailable)
+	qt.Assert(t, err, qt.ErrorIs, sqkv.ErrUnavailable)
 	_, err = p.Swap(ctx, "a/9", 0, nil, 0)
-	qt.Assert(t, err, qt.ErrorIs, sqplatform.ErrUnavailable)
+	qt.Assert(t, err, qt.ErrorIs, sqkv.ErrUnavailable)
 	_, err = p.Grant(ctx, time.Second)
-	qt.Assert(t, err, qt.ErrorIs, sqplatform.ErrUnavailable)
+	qt.Assert(t, err, qt.ErrorIs, sqkv.ErrUnavailable)
 	store.SetFaults(sqstore.Faults{})
 	for range 500 {
 		if _, err = p.Get(ctx, "a/2"); err == nil {
@@ -262,7 +263,7 @@
 
 	c = dial(t, failoverTimeout, refusing.Addr().String(), silent.Addr().String())
 	_, err = c.Swap(t.Context(), "k", 0, []byte("v"), 0)
-	qt.Assert(t, err, qt.ErrorIs, sqplatform.ErrUnavailable)
+	qt.Assert(t, err, qt.ErrorIs, sqkv.ErrUnavailable)
 }
 
 func counted(t *testing.T, c *sqplatform.Client, kind string) float64 {
--- a/internal/edge/sqplatform/keys.go
+++ b/internal/edge/sqplatform/keys.go
@@ -1,6 +1,7 @@
 package sqplatform
 
 import (
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"context"
 
 	"google.golang.org/grpc"
@@ -9,21 +10,21 @@
 )
 
 // Get returns the record at key; its version is 0 if there is none.
-func (c *Client) Get(ctx context.Context, key string) (Record, error) {
+func (c *Client) Get(ctx context.Context, key string) (sqkv.Record, error) {
 	records, _, err := c.list(ctx, CallGet, &wire.RangeRequest{Key: []byte(key)})
 	if err != nil || len(records) == 0 {
-		return Record{Key: key}, err
+		return sqkv.Record{Key: key}, err
 	}
 	return records[0], nil
 }
 
 // List returns the records whose keys begin with prefix, in key order, and
 // the platform's version at which they were read.
-func (c *Client) List(ctx context.Context, prefix string) ([]Record, Version, error) {
+func (c *Client) List(ctx context.Context, prefix string) ([]sqkv.Record, sqkv.Version, error) {
 	return c.list(ctx, CallList, &wire.RangeRequest{Key: []byte(prefix), RangeEnd: rangeEnd(prefix)})
 }
 
-func (c *Client) list(ctx context.Context, kind CallKind, r *wire.RangeRequest) ([]Record, Version, error) {
+func (c *Client) list(ctx context.Context, kind CallKind, r *wire.RangeRequest) ([]sqkv.Record, sqkv.Version, error) {
 	var answer *wire.RangeResponse
 	err := c.read(ctx, kind, func(ctx context.Context, conn grpc.ClientConnInterface) (err error) {
 		answer, err = wire.NewKVClient(conn).Range(ctx, r)
@@ -32,15 +33,15 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	records := make([]Record, len(answer.GetKvs()))
+	records := make([]sqkv.Record, len(answer.GetKvs()))
 	for i, kv := range answer.GetKvs() {
 		records[i] = recordOf(kv)
 	}
-	return records, Version(answer.GetHeader().GetRevision()), nil
+	return records, sqkv.Version(answer.GetHeader().GetRevision()), nil
 }
 
 // Swap writes value at key if the key's version is still expected.
-func (c *Client) Swap(ctx context.Context, key string, expected Version, value []byte, lease LeaseID) (Version, error) {
+func (c *Client) Swap(ctx context.Context, key string, expected sqkv.Version, value []byte, lease sqkv.LeaseID) (sqkv.Version, error) {
 	put := &wire.PutRequest{Key: []byte(key), Value: value, Lease: int64(lease)}
 	return c.txn(ctx, CallSwap, key, expected, &wire.RequestOp{
 		Request: &wire.RequestOp_RequestPut{RequestPut: put},
@@ -48,14 +49,14 @@
 }
 
 // Delete removes key if its version is still expected.
-func (c *Client) Delete(ctx context.Context, key string, expected Version) error {
+func (c *Client) Delete(ctx context.Context, key string, expected sqkv.Version) error {
 	_, err := c.txn(ctx, CallDelete, key, expected, &wire.RequestOp{
 		Request: &wire.RequestOp_RequestDeleteRange{RequestDeleteRange: &wire.DeleteRangeRequest{Key: []byte(key)}},
 	})
 	return err
 }
 
-func (c *Client) txn(ctx context.Context, kind CallKind, key string, expected Version, op *wire.RequestOp) (Version, error) {
+func (c *Client) txn(ctx context.Context, kind CallKind, key string, expected sqkv.Version, op *wire.RequestOp) (sqkv.Version, error) {
 	r := &wire.TxnRequest{
 		Compare: []*wire.Compare{{
 			Result:      wire.Compare_EQUAL,
@@ -65,16 +66,16 @@
 		}},
 		Success: []*wire.RequestOp{op},
 	}
-	var version Version
+	var version sqkv.Version
 	err := c.write(ctx, kind, func(ctx context.Context, conn grpc.ClientConnInterface) error {
 		answer, err := wire.NewKVClient(conn).Txn(ctx, r)
 		if err != nil {
 			return err
 		}
 		if !answer.GetSucceeded() {
-			return ErrConflict
+			return sqkv.ErrConflict
 		}
-		version = Version(answer.GetHeader().GetRevision())
+		version = sqkv.Version(answer.GetHeader().GetRevision())
 		return nil
 	})
 	return version, err
@@ -92,6 +93,6 @@
 	return []byte{0}
 }
 
-func recordOf(kv *wire.KeyValue) Record {
-	return Record{Key: string(kv.GetKey()), Value: kv.GetValue(), Version: Version(kv.GetModRevision())}
+func recordOf(kv *wire.KeyValue) sqkv.Record {
+	return sqkv.Record{Key: string(kv.GetKey()), Value: kv.GetValue(), Version: sqkv.Version(kv.GetModRevision())}
 }
--- a/internal/edge/sqplatform/lease.go
+++ b/internal/edge/sqplatform/lease.go
@@ -1,6 +1,7 @@
 package sqplatform
 
 import (
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"context"
 	"time"
 
@@ -11,19 +12,19 @@
 
 // Grant makes a lease that ends ttl after its last renewal; ttl is rounded up
 // to whole seconds. A lease whose answer is lost ends by itself.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (sqkv.LeaseID, error) {
 	r := &wire.LeaseGrantRequest{TTL: int64((ttl + time.Second - 1) / time.Second)}
-	var lease LeaseID
+	var lease sqkv.LeaseID
 	err := c.read(ctx, CallGrant, func(ctx context.Context, conn grpc.ClientConnInterface) error {
 		answer, err := wire.NewLeaseClient(conn).LeaseGrant(ctx, r)
-		lease = LeaseID(answer.GetID())
+		lease = sqkv.LeaseID(answer.GetID())
 		return err
 	})
 	return lease, err
 }
 
-// Renew renews a lease; it is ErrLeaseEnded if the lease has ended.
-func (c *Client) Renew(ctx context.Context, lease LeaseID) error {
+// Renew renews a lease; it is sqkv.ErrLeaseEnded if the lease has ended.
+func (c *Client) Renew(ctx context.Context, lease sqkv.LeaseID) error {
 	return c.read(ctx, CallRenew, func(ctx context.Context, conn grpc.ClientConnInterface) error {
 		stream, err := wire.NewLeaseClient(conn).LeaseKeepAlive(ctx)
 		if err != nil {
@@ -37,7 +38,7 @@
 			return err
 		}
 		if answer.GetTTL() <= 0 {
-			return ErrLeaseEnded
+			return sqkv.ErrLeaseEnded
 		}
 		return nil
 	})
--- a/internal/edge/sqplatform/watch.go
+++ b/internal/edge/sqplatform/watch.go
@@ -1,6 +1,7 @@
 package sqplatform
 
 import (
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"context"
 	"time"
 
@@ -16,8 +17,8 @@
 type watchStream = grpc.BidiStreamingClient[wire.WatchRequest, wire.WatchResponse]
 
 // Watch sends the changes of the keys that begin with prefix to f, in order.
-// It returns ctx's error, ErrUnavailable, ErrCompacted, or what f returns.
-func (c *Client) Watch(ctx context.Context, prefix string, after Version, f func(Event) error) error {
+// It returns ctx's error, sqkv.ErrUnavailable, sqkv.ErrCompacted, or what f returns.
+func (c *Client) Watch(ctx context.Context, prefix string, after sqkv.Version, f func(sqkv.Event) error) error {
 	c.count(CallWatch)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -42,7 +43,7 @@
 }
 
 // openWatch returns a stream whose watch the platform has confirmed.
-func (c *Client) openWatch(ctx context.Context, cancel context.CancelCauseFunc, prefix string, after Version) (watchStream, string, error) {
+func (c *Client) openWatch(ctx context.Context, cancel context.CancelCauseFunc, prefix string, after sqkv.Version) (watchStream, string, error) {
 	opening, stop := context.WithTimeout(ctx, c.timeout())
 	defer stop()
 	addresses := c.order()
@@ -70,7 +71,7 @@
 	return stream, addresses[i], nil
 }
 
-func createRequest(prefix string, after Version) *wire.WatchRequest {
+func createRequest(prefix string, after sqkv.Version) *wire.WatchRequest {
 	create := &wire.WatchCreateRequest{
 		Key:           []byte(prefix),
 		RangeEnd:      rangeEnd(prefix),
@@ -81,13 +82,13 @@
 
 func cancelReason(answer *wire.WatchResponse) error {
 	if answer.GetCompactRevision() > 0 {
-		return ErrCompacted
+		return sqkv.ErrCompacted
 	}
 	return errors.Errorf("platform ended the watch: %s", answer.GetCancelReason())
 }
 
 func (c *Client) watchEnd(ctx context.Context, address string, err error) error {
-	if errors.Is(err, ErrCompacted) {
+	if errors.Is(err, sqkv.ErrCompacted) {
 		return refusal(CallWatch, err)
 	}
 	if ctx.Err() != nil && context.Cause(ctx) != errOpening {
@@ -96,14 +97,14 @@
 	if address != "" {
 		c.avoid(address, err)
 	}
-	return failure(CallWatch, ErrUnavailable, err)
+	return failure(CallWatch, sqkv.ErrUnavailable, err)
 }
 
-func eventOf(e *wire.Event) Event {
+func eventOf(e *wire.Event) sqkv.Event {
 	record := recordOf(e.GetKv())
 	if e.GetType() == wire.Event_DELETE {
 		record.Value = nil
-		return Event{Record: record, Deleted: true}
+		return sqkv.Event{Record: record, Deleted: true}
 	}
-	return Event{Record: record}
+	return sqkv.Event{Record: record}
 }
--- a/internal/standin/sqstore/platform.go
+++ b/internal/standin/sqstore/platform.go
@@ -7,10 +7,11 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 )
 
 // Platform returns the store as a daemon uses it, without a network between.
-func (s *Store) Platform() sqplatform.Store {
+func (s *Store) Platform() sqkv.Store {
 	return platform{s}
 }
 
@@ -18,19 +19,19 @@
 	store *Store
 }
 
-func (p platform) Get(ctx context.Context, key string) (sqplatform.Record, error) {
+func (p platform) Get(ctx context.Context, key string) (sqkv.Record, error) {
 	records, _, err := p.read(ctx, sqplatform.CallGet, span{start: key})
 	if err != nil || len(records) == 0 {
-		return sqplatform.Record{Key: key}, err
+		return sqkv.Record{Key: key}, err
 	}
 	return records[0], nil
 }
 
-func (p platform) List(ctx context.Context, prefix string) ([]sqplatform.Record, sqplatform.Version, error) {
+func (p platform) List(ctx context.Context, prefix string) ([]sqkv.Record, sqkv.Version, error) {
 	return p.read(ctx, sqplatform.CallList, prefixSpan(prefix))
 }
 
-func (p platform) read(ctx context.Context, kind sqplatform.CallKind, in span) ([]sqplatform.Record, sqplatform.Version, error) {
+func (p platform) read(ctx context.Context, kind sqplatform.CallKind, in span) ([]sqkv.Record, sqkv.Version, error) {
 	if err := p.store.begin(ctx, kind); err != nil {
 		return nil, 0, unavailable(err)
 	}
@@ -38,26 +39,26 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	records := make([]sqplatform.Record, len(results[0].records))
+	records := make([]sqkv.Record, len(results[0].records))
 	for i, r := range results[0].records {
 		records[i] = r.platform()
 	}
-	return records, sqplatform.Version(revision), nil
+	return records, sqkv.Version(revision), nil
 }
 
-func (p platform) Swap(ctx context.Context, key string, expected sqplatform.Version, value []byte, lease sqplatform.LeaseID) (sqplatform.Version, error) {
+func (p platform) Swap(ctx context.Context, key string, expected sqkv.Version, value []byte, lease sqkv.LeaseID) (sqkv.Version, error) {
 	put := &record{key: key, value: value, lease: int64(lease)}
 	return p.swap(ctx, sqplatform.CallSwap, key, expected, operation{put: put})
 }
 
-func (p platform) Delete(ctx context.Context, key string, expected sqplatform.Version) error {
+func (p platform) Delete(ctx context.Context, key string, expected sqkv.Version) error {
 	_, err := p.swap(ctx, sqplatform.CallDelete, key, expected, operation{remove: &span{start: key}})
 	return err
 }
 
-func (p platform) swap(ctx context.Context, kind sqplatform.CallKind, key string, expected sqplatform.Version, op operation) (sqplatform.Version, error) {
+func (p platform) swap(ctx context.Context, kind sqplatform.CallKind, key string, expected sqkv.Version, op operation) (sqkv.Version, error) {
 	type outcome struct {
-		version sqplatform.Version
+		version sqkv.Version
 		err     error
 	}
 	done := make(chan outcome, 1)
@@ -67,16 +68,16 @@
 			conditions := map[string]condition{key: modifiedAt(int64(expected))}
 			holds, _, revision, err := p.store.compareAndApply(conditions, []operation{op}, nil)
 			if err == nil && !holds {
-				err = sqplatform.ErrConflict
+				err = sqkv.ErrConflict
 			}
-			o.version = sqplatform.Version(revision)
+			o.version = sqkv.Version(revision)
 			return err
 		})
 		done <- o
 	}()
 	select {
 	case <-ctx.Done():
-		return 0, errors.Wrap(sqplatform.ErrUncertain, ctx.Err().Error())
+		return 0, errors.Wrap(sqkv.ErrUncertain, ctx.Err().Error())
 	case o := <-done:
 		if o.err != nil {
 			return 0, writeError(o.err)
@@ -85,24 +86,24 @@
 	}
 }
 
-func (p platform) Grant(ctx context.Context, ttl time.Duration) (sqplatform.LeaseID, error) {
+func (p platform) Grant(ctx context.Context, ttl time.Duration) (sqkv.LeaseID, error) {
 	if err := p.store.begin(ctx, sqplatform.CallGrant); err != nil {
 		return 0, unavailable(err)
 	}
-	return sqplatform.LeaseID(p.store.grant(0, ttl)), nil
+	return sqkv.LeaseID(p.store.grant(0, ttl)), nil
 }
 
-func (p platform) Renew(ctx context.Context, lease sqplatform.LeaseID) error {
+func (p platform) Renew(ctx context.Context, lease sqkv.LeaseID) error {
 	if err := p.store.begin(ctx, sqplatform.CallRenew); err != nil {
 		return unavailable(err)
 	}
 	if p.store.renew(int64(lease)) <= 0 {
-		return sqplatform.ErrLeaseEnded
+		return sqkv.ErrLeaseEnded
 	}
 	return nil
 }
 
-func (p platform) Watch(ctx context.Context, prefix string, after sqplatform.Version, f func(sqplatform.Event) error) error {
+func (p platform) Watch(ctx context.Context, prefix string, after sqkv.Version, f func(sqkv.Event) error) error {
 	cut, from, done := p.store.beginWatch(int64(after) + 1)
 	defer done()
 	if err := p.store.begin(ctx, sqplatform.CallWatch); err != nil {
@@ -122,8 +123,8 @@
 	}
 }
 
-func (c change) event() sqplatform.Event {
-	return sqplatform.Event{Record: c.record.platform(), Deleted: c.deleted}
+func (c change) event() sqkv.Event {
+	return sqkv.Event{Record: c.record.platform(), Deleted: c.deleted}
 }
 
 func modifiedAt(revision int64) condition {
@@ -143,7 +144,7 @@
 }
 
 func unavailable(err error) error {
-	return errors.Wrap(sqplatform.ErrUnavailable, err.Error())
+	return errors.Wrap(sqkv.ErrUnavailable, err.Error())
 }
 
 func writeError(err error) error {
@@ -151,9 +152,9 @@
 	case errors.Is(err, errDown):
 		return unavailable(err)
 	case errors.Is(err, errAnswerLost):
-		return errors.Wrap(sqplatform.ErrUncertain, err.Error())
+		return errors.Wrap(sqkv.ErrUncertain, err.Error())
 	case errors.Is(err, errLeaseUnknown):
-		return sqplatform.ErrLeaseEnded
+		return sqkv.ErrLeaseEnded
 	}
 	return err
 }
@@ -161,7 +162,7 @@
 func watchError(err error) error {
 	switch {
 	case errors.Is(err, errCompacted):
-		return sqplatform.ErrCompacted
+		return sqkv.ErrCompacted
 	case errors.Is(err, errCut):
 		return unavailable(err)
 	}
--- a/internal/standin/sqstore/store.go
+++ b/internal/standin/sqstore/store.go
@@ -2,7 +2,7 @@
 // compare-and-swap, leases and watches, held in memory, with fault switches.
 //
 // Tests use a Store in their own process: Store.Platform is a
-// sqplatform.Store without a network, fit for testing/synctest, and a Server
+// sqkv.Store without a network, fit for testing/synctest, and a Server
 // offers the same Store in the subset of etcd v3's gRPC API.
 //
 // The faults are methods of Store and, on a Server's fault address, HTTP with
@@ -32,7 +32,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 )
 
 // DefaultHistoryLimit is the number of changes kept for watches.
@@ -231,8 +231,8 @@
 }
 
 // platform returns the record as a daemon sees it.
-func (r record) platform() sqplatform.Record {
-	return sqplatform.Record{Key: r.key, Value: slices.Clone(r.value), Version: sqplatform.Version(r.modified)}
+func (r record) platform() sqkv.Record {
+	return sqkv.Record{Key: r.key, Value: slices.Clone(r.value), Version: sqkv.Version(r.modified)}
 }
 
 // Compact forgets all history, so that a watch from before now fails.
--- a/internal/standin/sqstore/store_test.go
+++ b/internal/standin/sqstore/store_test.go
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/standin/sqstore"
 )
 
@@ -33,14 +33,14 @@
 		time.Sleep(9 * time.Second)
 		qt.Assert(t, p.Renew(ctx, lease), qt.IsNil)
 		renewed := time.Now()
-		err = p.Watch(ctx, "k", version+2, func(e sqplatform.Event) error {
+		err = p.Watch(ctx, "k", version+2, func(e sqkv.Event) error {
 			qt.Check(t, e.Record.Key, qt.Equals, "k")
 			qt.Check(t, e.Deleted, qt.IsTrue)
 			return http.ErrAbortHandler
 		})
 		qt.Assert(t, err, qt.ErrorIs, http.ErrAbortHandler)
 		qt.Assert(t, time.Since(renewed), qt.Equals, 10*time.Second)
-		qt.Assert(t, p.Renew(ctx, lease), qt.ErrorIs, sqplatform.ErrLeaseEnded)
+		qt.Assert(t, p.Renew(ctx, lease), qt.ErrorIs, sqkv.ErrLeaseEnded)
 		left, _, err := p.List(ctx, "k")
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, left, qt.HasLen, 1)
@@ -51,14 +51,14 @@
 // TestHistoryLimit checks that old history is compacted by itself.
 func TestHistoryLimit(t *testing.T) {
 	p := (&sqstore.Store{HistoryLimit: 3}).Platform()
-	version := sqplatform.Version(0)
+	version := sqkv.Version(0)
 	for range 5 {
 		var err error
 		version, err = p.Swap(t.Context(), "k", version, nil, 0)
 		qt.Assert(t, err, qt.IsNil)
 	}
-	stop := func(sqplatform.Event) error { return http.ErrAbortHandler }
-	qt.Assert(t, p.Watch(t.Context(), "k", 1, stop), qt.ErrorIs, sqplatform.ErrCompacted)
+	stop := func(sqkv.Event) error { return http.ErrAbortHandler }
+	qt.Assert(t, p.Watch(t.Context(), "k", 1, stop), qt.ErrorIs, sqkv.ErrCompacted)
 	qt.Assert(t, p.Watch(t.Context(), "k", 2, stop), qt.ErrorIs, http.ErrAbortHandler)
 }
 
@@ -73,7 +73,7 @@
 	code, _ := call("PUT", "/v1/faults", `{"down":true,"delay":"200ms","loseAnswers":2}`)
 	qt.Assert(t, code, qt.Equals, 204)
 	_, err := store.Platform().Get(t.Context(), "k")
-	qt.Assert(t, err, qt.ErrorIs, sqplatform.ErrUnavailable)
+	qt.Assert(t, err, qt.ErrorIs, sqkv.ErrUnavailable)
 	_, body := call("GET", "/v1/faults", "")
 	qt.Assert(t, body, qt.Equals, `{"down":true,"delay":"200ms","loseAnswers":2,"loseWrites":0}`)
 	code, _ = call("PUT", "/v1/faults", `{"up":true}`)
@@ -89,7 +89,7 @@
 	_, _ = call("POST", "/v1/restore", "")
 	r, err := store.Platform().Get(t.Context(), "k")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, r.Version, qt.Equals, sqplatform.Version(0))
+	qt.Assert(t, r.Version, qt.Equals, sqkv.Version(0))
 	_, body = call("GET", "/v1/counts", "")
 	qt.Assert(t, body, qt.Equals, `{"get":2,"list":0,"swap":1,"delete":0,"grant":0,"renew":0,"watch":0,"watching":0}`)
 }
--- a/internal/edge/sqplatform/platform.go
+++ b/internal/state/sqkv/store.go
@@ -1,7 +1,6 @@
-// Package sqplatform meets the platform's key-value service. The rest of a
-// daemon knows it by the Store interface alone, so that another platform's
-// protocol is one more package like this one.
-package sqplatform
+// Package sqkv is the platform's key-value service as the daemon uses it: one
+// interface, with an implementation for each protocol that a platform speaks.
+package sqkv
 
 import (
 	"context"
--- a/internal/state/sqlists/accept.go
+++ b/internal/state/sqlists/accept.go
@@ -12,7 +12,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 )
 
 const (
@@ -44,7 +44,7 @@
 // Acceptor accepts operators' changes of the lists by one compare-and-swap of
 // the head record in the platform. Of racing changes exactly one is accepted.
 type Acceptor struct {
-	Store  sqplatform.Store
+	Store  sqkv.Store
 	Holder *Holder
 	Logger logr.Logger
 	// Publish spreads accepted lists to the other daemons; it may be nil.
@@ -175,16 +175,16 @@
 // back; the same swap is tried again only while its version is still the
 // expected one, so that it takes effect at most once. The version it returns
 // is 0 if later changes have been accepted already.
-func (a *Acceptor) swapHead(ctx context.Context, next Head, expected sqplatform.Version) (sqplatform.Version, error) {
+func (a *Acceptor) swapHead(ctx context.Context, next Head, expected sqkv.Version) (sqkv.Version, error) {
 	uncertain := false
 	for {
 		version, err := a.Store.Swap(ctx, headKey, expected, next.encode(), 0)
 		switch {
 		case err == nil:
 			return version, nil
-		case errors.Is(err, sqplatform.ErrConflict) && !uncertain:
+		case errors.Is(err, sqkv.ErrConflict) && !uncertain:
 			return 0, a.conflict(ctx, next)
-		case errors.Is(err, sqplatform.ErrConflict), errors.Is(err, sqplatform.ErrUncertain):
+		case errors.Is(err, sqkv.ErrConflict), errors.Is(err, sqkv.ErrUncertain):
 			uncertain = true
 		case !uncertain:
 			return 0, notAccepted(err)
@@ -226,7 +226,7 @@
 }
 
 // outcome decides from a later head whether the change next was accepted.
-func outcome(next Head, at headRecord) (sqplatform.Version, error) {
+func outcome(next Head, at headRecord) (sqkv.Version, error) {
 	if at.head.Change == next.Change {
 		return at.version, nil
 	}
--- a/internal/state/sqlists/accept_test.go
+++ b/internal/state/sqlists/accept_test.go
@@ -15,7 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/standin/sqstore"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
 )
@@ -25,7 +25,7 @@
 // flaky delays each call, and loses writes and answers, or lets writes take
 // effect after their caller gave up.
 type flaky struct {
-	sqplatform.Store
+	sqkv.Store
 
 	mu   sync.Mutex
 	rng  *rand.Rand
@@ -40,28 +40,28 @@
 	return roll
 }
 
-func (f *flaky) Get(ctx context.Context, key string) (sqplatform.Record, error) {
+func (f *flaky) Get(ctx context.Context, key string) (sqkv.Record, error) {
 	if f.roll(30*time.Millisecond) < f.lost {
-		return sqplatform.Record{}, sqplatform.ErrUnavailable
+		return sqkv.Record{}, sqkv.ErrUnavailable
 	}
 	return f.Store.Get(ctx, key)
 }
 
-func (f *flaky) Swap(ctx context.Context, key string, expected sqplatform.Version, value []byte, lease sqplatform.LeaseID) (sqplatform.Version, error) {
+func (f *flaky) Swap(ctx context.Context, key string, expected sqkv.Version, value []byte, lease sqkv.LeaseID) (sqkv.Version, error) {
 	switch roll := f.roll(30 * time.Millisecond); {
 	case roll < f.lost:
-		return 0, sqplatform.ErrUncertain
+		return 0, sqkv.ErrUncertain
 	case roll < 2*f.lost:
 		_, _ = f.Store.Swap(ctx, key, expected, value, lease)
-		return 0, sqplatform.ErrUncertain
+		return 0, sqkv.ErrUncertain
 	case roll < 3*f.lost:
 		go func() {
 			f.roll(2 * time.Second)
 			_, _ = f.Store.Swap(context.Background(), key, expected, value, lease)
 		}()
-		return 0, sqplatform.ErrUncertain
+		return 0, sqkv.ErrUncertain
 	case roll < 4*f.lost:
-		return 0, sqplatform.ErrUnavailable
+		return 0, sqkv.ErrUnavailable
 	}
 	return f.Store.Swap(ctx, key, expected, value, lease)
 }
@@ -71,10 +71,10 @@
 	*flaky
 }
 
-func (h hasty) Swap(ctx context.Context, key string, expected sqplatform.Version, value []byte, lease sqplatform.LeaseID) (sqplatform.Version, error) {
+func (h hasty) Swap(ctx context.Context, key string, expected sqkv.Version, value []byte, lease sqkv.LeaseID) (sqkv.Version, error) {
 	version, err := h.flaky.Swap(ctx, key, expected, value, lease)
-	if errors.Is(err, sqplatform.ErrUncertain) {
-		err = sqplatform.ErrUnavailable
+	if errors.Is(err, sqkv.ErrUncertain) {
+		err = sqkv.ErrUnavailable
 	}
 	return version, err
 }
@@ -86,7 +86,7 @@
 
 // naive reads the head, then writes over whatever is there.
 type naive struct {
-	store sqplatform.Store
+	store sqkv.Store
 }
 
 type naiveHead struct {
@@ -94,7 +94,7 @@
 	Body     json.RawMessage
 }
 
-func (n naive) read(ctx context.Context) (naiveHead, sqplatform.Version, error) {
+func (n naive) read(ctx context.Context) (naiveHead, sqkv.Version, error) {
 	r, err := n.store.Get(ctx, "naive")
 	h := naiveHead{Body: json.RawMessage("[]")}
 	if err == nil && r.Version > 0 {
@@ -120,7 +120,7 @@
 		switch _, err = n.store.Swap(ctx, "naive", version, value, 0); {
 		case err == nil:
 			return ifMatch + 1, nil
-		case !errors.Is(err, sqplatform.ErrConflict):
+		case !errors.Is(err, sqkv.ErrConflict):
 			return 0, sqlists.ErrNotAccepted
 		}
 	}
@@ -210,25 +210,25 @@
 type reader func() (sqid.Revision, []string)
 
 // maker makes the acceptor of one operator's daemon.
-type maker func(store *flaky, core sqplatform.Store) (putter, reader)
+type maker func(store *flaky, core sqkv.Store) (putter, reader)
 
-func makeNaive(store *flaky, core sqplatform.Store) (putter, reader) {
+func makeNaive(store *flaky, core sqkv.Store) (putter, reader) {
 	return naive{store}, func() (sqid.Revision, []string) {
 		h, _, _ := naive{core}.read(context.Background())
 		return h.Revision, names(h.Body)
 	}
 }
 
-func makeHasty(store *flaky, core sqplatform.Store) (putter, reader) {
+func makeHasty(store *flaky, core sqkv.Store) (putter, reader) {
 	return &sqlists.Acceptor{Store: hasty{store}, Holder: &sqlists.Holder{}}, followed(core)
 }
 
-func makeReal(store *flaky, core sqplatform.Store) (putter, reader) {
+func makeReal(store *flaky, core sqkv.Store) (putter, reader) {
 	return &sqlists.Acceptor{Store: store, Holder: &sqlists.Holder{}}, followed(core)
 }
 
 // followed reads the lists as a daemon that has just started.
-func followed(core sqplatform.Store) reader {
+func followed(core sqkv.Store) reader {
 	return func() (sqid.Revision, []string) {
 		h := &sqlists.Holder{}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -300,12 +300,12 @@
 
 // headSwap calls f in place of the first swap of the head.
 type headSwap struct {
-	sqplatform.Store
+	sqkv.Store
 	f    func(swap func() error) error
 	done bool
 }
 
-func (h *headSwap) Swap(ctx context.Context, key string, expected sqplatform.Version, value []byte, lease sqplatform.LeaseID) (version sqplatform.Version, err error) {
+func (h *headSwap) Swap(ctx context.Context, key string, expected sqkv.Version, value []byte, lease sqkv.LeaseID) (version sqkv.Version, err error) {
 	if key != "sequoiatack/lists/head" || h.done {
 		return h.Store.Swap(ctx, key, expected, value, lease)
 	}
@@ -334,27 +334,27 @@
 			revision sqid.Revision
 			err      any
 		}{
-			"answer lost": {func(swap func() error) error { _ = swap(); return sqplatform.ErrUncertain }, 2, nil},
-			"write lost":  {func(func() error) error { return sqplatform.ErrUncertain }, 2, nil},
+			"answer lost": {func(swap func() error) error { _ = swap(); return sqkv.ErrUncertain }, 2, nil},
+			"write lost":  {func(func() error) error { return sqkv.ErrUncertain }, 2, nil},
 			"superseded": {func(swap func() error) error {
 				_ = swap()
 				for range 3 {
 					other()
 				}
-				return sqplatform.ErrUncertain
+				return sqkv.ErrUncertain
 			}, 2, nil},
-			"overtaken": {func(func() error) error { other(); return sqplatform.ErrUncertain }, 0, &conflict},
+			"overtaken": {func(func() error) error { other(); return sqkv.ErrUncertain }, 0, &conflict},
 			"out after the write": {func(swap func() error) error {
 				_ = swap()
 				store.SetFaults(sqstore.Faults{Down: true})
-				return sqplatform.ErrUncertain
+				return sqkv.ErrUncertain
 			}, 0, sqlists.ErrOutcomeUnknown},
 			"restored older": {func(swap func() error) error {
 				_ = swap()
 				store.Restore()
-				return sqplatform.ErrUncertain
+				return sqkv.ErrUncertain
 			}, 0, sqlists.ErrOutcomeUnknown},
-			"never sent": {func(func() error) error { return sqplatform.ErrUnavailable }, 0, sqlists.ErrNotAccepted},
+			"never sent": {func(func() error) error { return sqkv.ErrUnavailable }, 0, sqlists.ErrNotAccepted},
 		} {
 			store = &sqstore.Store{}
 			a := &sqlists.Acceptor{Store: &headSwap{Store: store.Platform(), f: c.f}, Holder: &sqlists.Holder{}}
--- a/internal/state/sqlists/follow.go
+++ b/internal/state/sqlists/follow.go
@@ -9,7 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 )
 
 const (
@@ -23,7 +23,7 @@
 // Follower keeps the lists in force up to date with the platform's on a
 // daemon that is a watcher; on others it makes no platform call.
 type Follower struct {
-	Store  sqplatform.Store
+	Store  sqkv.Store
 	Holder *Holder
 	Logger logr.Logger
 	// Watching reports whether the daemon is a watcher now.
@@ -63,13 +63,13 @@
 
 // follow watches the head after version until the watch is lost, a poll
 // fails, or the daemon is no watcher any more.
-func (f *Follower) follow(ctx context.Context, version sqplatform.Version) {
+func (f *Follower) follow(ctx context.Context, version sqkv.Version) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	events := make(chan sqplatform.Event)
+	events := make(chan sqkv.Event)
 	ended := make(chan error, 1)
 	go func() {
-		ended <- f.Store.Watch(ctx, headKey, version, func(e sqplatform.Event) error {
+		ended <- f.Store.Watch(ctx, headKey, version, func(e sqkv.Event) error {
 			select {
 			case events <- e:
 				return nil
@@ -91,7 +91,7 @@
 }
 
 // attend handles events, polls and duty until one of them ends the watch.
-func (f *Follower) attend(ctx context.Context, events <-chan sqplatform.Event, ended chan error) {
+func (f *Follower) attend(ctx context.Context, events <-chan sqkv.Event, ended chan error) {
 	began := time.Now()
 	duty := time.NewTicker(dutyEvery)
 	defer duty.Stop()
@@ -135,7 +135,7 @@
 
 // event applies the head of a watch's event. An event may be late: one that
 // is older than the lists in force says nothing.
-func (f *Follower) event(ctx context.Context, e sqplatform.Event) error {
+func (f *Follower) event(ctx context.Context, e sqkv.Event) error {
 	h, err := parseHead(e.Record.Value)
 	if err != nil || e.Deleted || h.Revision <= f.Holder.Revision() {
 		return err
@@ -145,7 +145,7 @@
 }
 
 // read reads the head and what is new of the bodies, and applies them.
-func (f *Follower) read(ctx context.Context) (sqplatform.Version, error) {
+func (f *Follower) read(ctx context.Context) (sqkv.Version, error) {
 	held := f.Holder.Accepted()
 	began := time.Now()
 	a, version, err := records{f.Store}.newest(ctx, held)
--- a/internal/state/sqlists/records.go
+++ b/internal/state/sqlists/records.go
@@ -5,7 +5,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 )
 
 // bodyTries bounds how often a body is written or read again while others
@@ -15,12 +15,12 @@
 // headRecord is the head with the platform's version of it.
 type headRecord struct {
 	head    Head
-	version sqplatform.Version
+	version sqkv.Version
 }
 
 // records reads and writes the lists in the platform.
 type records struct {
-	store sqplatform.Store
+	store sqkv.Store
 }
 
 func (r records) head(ctx context.Context) (headRecord, error) {
@@ -69,7 +69,7 @@
 
 // newest reads the head and its bodies, again while the head moves on.
 // Bodies that held already has are not read.
-func (r records) newest(ctx context.Context, held *Accepted) (*Accepted, sqplatform.Version, error) {
+func (r records) newest(ctx context.Context, held *Accepted) (*Accepted, sqkv.Version, error) {
 	var err error
 	for range bodyTries {
 		var at headRecord
@@ -97,14 +97,14 @@
 // read may not.
 func (r records) writeBody(ctx context.Context, body []byte) error {
 	key := digestOf(body).key()
-	var version sqplatform.Version
+	var version sqkv.Version
 	var err error
 	for range bodyTries {
 		_, err = r.store.Swap(ctx, key, version, body, 0)
 		if err == nil {
 			return nil
 		}
-		if !errors.Is(err, sqplatform.ErrConflict) && !errors.Is(err, sqplatform.ErrUncertain) {
+		if !errors.Is(err, sqkv.ErrConflict) && !errors.Is(err, sqkv.ErrUncertain) {
 			break
 		}
 		record, err := r.store.Get(ctx, key)
@@ -128,7 +128,7 @@
 		if named || b.Version > at.version {
 			continue
 		}
-		if err := r.store.Delete(ctx, b.Key, b.Version); err != nil && !errors.Is(err, sqplatform.ErrConflict) {
+		if err := r.store.Delete(ctx, b.Key, b.Version); err != nil && !errors.Is(err, sqkv.ErrConflict) {
 			return errors.Wrap(err, "remove body")
 		}
 	}
