--- a/cmd/sequoiatack/daemon.go
+++ b/cmd/sequoiatack/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqlog"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqdaemon"
+	"github.com/sequoiatack/sequoiatack/platform"
 )
 
 func newDaemon() *cobra.Command {
@@ -32,14 +33,9 @@
 	return cmd
 }
 
-const (
-	// gcPercent trades memory for processor time; memoryLimit bounds that.
-	gcPercent   = 400
-	memoryLimit = 200 << 20
-	// maxProcessors bounds what a daemon runs on unless GOMAXPROCS says
-	// otherwise: on more, waking idle ones costs calls more than it gains.
-	maxProcessors = 4
-)
+// maxProcessors bounds what a daemon runs on unless GOMAXPROCS says otherwise:
+// on more, waking idle ones costs calls more than it gains.
+const maxProcessors = 4
 
 // runDaemon runs a daemon until ctx ends, which the first signal does.
 func runDaemon(ctx context.Context, file string) error {
@@ -54,9 +50,12 @@
 	if os.Getenv("GOMAXPROCS") == "" {
 		runtime.GOMAXPROCS(min(runtime.NumCPU(), maxProcessors))
 	}
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(memoryLimit)
+	debug.SetGCPercent(cfg.Memory.GrowthPercent)
+	debug.SetMemoryLimit(int64(cfg.Memory.Limit))
 	d := &sqdaemon.Daemon{Settings: cfg, Logger: log}
+	if cfg.Interface == sqsettings.InterfacePlatform {
+		d.Adapter = &platform.Adapter{Settings: cfg, Logger: log}
+	}
 	now, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	context.AfterFunc(ctx, func() { onSignal(now, cancel) })
--- a/internal/base/sqreason/reason.go
+++ b/internal/base/sqreason/reason.go
@@ -29,6 +29,7 @@
 	TargetDraining     Refusal = "target-draining"
 	TargetUnreachable  Refusal = "target-unreachable"
 	TargetBroken       Refusal = "target-broken"
+	TargetFailed       Refusal = "target-failed"
 	PeerUnreachable    Refusal = "peer-unreachable"
 	PeerBroken         Refusal = "peer-broken"
 	LinkBudget         Refusal = "link-budget"
@@ -70,6 +71,7 @@
 	TargetDraining:    http.StatusServiceUnavailable,
 	TargetUnreachable: http.StatusServiceUnavailable,
 	TargetBroken:      http.StatusBadGateway,
+	TargetFailed:      http.StatusBadGateway,
 	PeerUnreachable:   http.StatusServiceUnavailable,
 	PeerBroken:        http.StatusBadGateway,
 	LinkBudget:        http.StatusServiceUnavailable,
--- a/internal/base/sqsettings/check.go
+++ b/internal/base/sqsettings/check.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 )
 
 // namePattern is what a daemon, a data centre and a region may be called.
@@ -61,6 +63,16 @@
 		add("linkBytesPerSecond", errors.Errorf("%d must not be negative", s.LinkBytesPerSecond))
 	}
 	add("policy", checkPolicy(s.Policy))
+	add("interface", checkInterface(s.Interface))
+	if s.Memory.Limit <= 0 {
+		add("memory.limit", errors.Errorf("%d must be positive", s.Memory.Limit))
+	}
+	if s.Memory.GrowthPercent <= 0 {
+		add("memory.growthPercent", errors.Errorf("%d must be positive", s.Memory.GrowthPercent))
+	}
+	if s.Interface == InterfacePlatform {
+		s.Platform.check(s.DataCentre, add)
+	}
 	add("(addresses)", s.checkDistinct())
 	return faults
 }
@@ -135,3 +147,28 @@
 	}
 	return errors.Errorf("%q is none of full, fixed, none", p)
 }
+
+func checkInterface(i Interface) error {
+	switch i {
+	case InterfaceNative, InterfacePlatform:
+		return nil
+	}
+	return errors.Errorf("%q is none of native, platform", i)
+}
+
+func (p *Platform) check(dc sqid.DataCentreID, add func(field string, err error)) {
+	add("platform.readyAddress", checkAddress(p.ReadyAddress))
+	add("platform.targetAddress", checkAddress(p.TargetAddress))
+	add("platform.announceEvery", checkPositive(p.AnnounceEvery))
+	add("platform.retry.window", checkPositive(p.Retry.Window))
+	add("platform.store.leaseLeast", checkNotNegative(p.Store.LeaseLeast))
+	if p.Service == "" {
+		add("platform.service", errors.New("is required"))
+	}
+	if p.Retry.Ratio < 0 || p.Retry.Slack < 0 {
+		add("platform.retry", errors.New("ratio and slack must not be negative"))
+	}
+	if _, ok := p.DataCentres[dc]; !ok {
+		add("platform.dataCentres", errors.Errorf("does not name the data centre %q of this daemon", dc))
+	}
+}
--- a/internal/base/sqsettings/settings.go
+++ b/internal/base/sqsettings/settings.go
@@ -3,10 +3,10 @@
 package sqsettings
 
 import (
-	"bytes"
 	"cmp"
 	"fmt"
 	"os"
+	"reflect"
 	"regexp"
 	"slices"
 	"strconv"
@@ -40,6 +40,67 @@
 	Log                Log          `toml:"log"`
 	// Policy is what decides under load; the naive ones are for comparison.
 	Policy Policy `toml:"policy"`
+	// Interface is what callers, targets and operators speak.
+	Interface Interface `toml:"interface"`
+	// Memory bounds the memory of the process.
+	Memory Memory `toml:"memory"`
+	// Platform are the settings of the interface "platform".
+	Platform Platform `toml:"platform"`
+}
+
+// Interface names what callers, targets and operators speak.
+type Interface string
+
+// The interfaces.
+const (
+	// InterfaceNative is the product's own.
+	InterfaceNative Interface = "native"
+	// InterfacePlatform is that of the adapter in platform/.
+	InterfacePlatform Interface = "platform"
+)
+
+// Memory are the settings of the garbage collector.
+type Memory struct {
+	// Limit is what the process may use, in bytes.
+	Limit squnit.Bytes `toml:"limit"`
+	// GrowthPercent is by how much the heap may grow between two collections:
+	// more takes less processor time.
+	GrowthPercent int `toml:"growthPercent"`
+}
+
+// Platform are the settings of the interface "platform": where the daemon meets
+// it, and the bounds that it states.
+type Platform struct {
+	// ReadyAddress is where readiness is asked for.
+	ReadyAddress string `toml:"readyAddress"`
+	// Service is that of the host's target, and TargetAddress its address.
+	Service       sqid.ServiceID `toml:"service"`
+	TargetAddress string         `toml:"targetAddress"`
+	// AnnounceEvery is the period at which targets announce themselves.
+	AnnounceEvery Span `toml:"announceEvery"`
+	// DataCentres maps every data centre to its region.
+	DataCentres map[sqid.DataCentreID]sqid.RegionID `toml:"dataCentres"`
+	Store       Store                               `toml:"store"`
+	Retry       Retry                               `toml:"retry"`
+	// MaxWatchers is the size of a fleet up to which every daemon watches the
+	// store by itself.
+	MaxWatchers int `toml:"maxWatchers"`
+}
+
+// Store are the bounds of the platform's store.
+type Store struct {
+	ReadsPerSecond  int  `toml:"readsPerSecond"`
+	WritesPerSecond int  `toml:"writesPerSecond"`
+	LeaseLeast      Span `toml:"leaseLeast"`
+	ValueBytes      int  `toml:"valueBytes"`
+}
+
+// Retry bounds the attempts beyond the first, for each service over the fleet.
+type Retry struct {
+	// Ratio is their part of the requests of a window, Slack a number beside it.
+	Ratio  float64 `toml:"ratio"`
+	Window Span    `toml:"window"`
+	Slack  int     `toml:"slack"`
 }
 
 // Policy names what decides under load.
@@ -83,11 +144,27 @@
 	defaultStopTimeout = 30 * time.Second
 	defaultLogLevel    = "info"
 	defaultLinkBytes   = squnit.Bytes(3_000_000)
+	// defaultMemory leaves room below the 256 MB that a daemon may use.
+	defaultMemory = squnit.Bytes(200 << 20)
+	defaultGrowth = 400
+	// defaultAnnounce is a common period of heartbeats.
+	defaultAnnounce = 1500 * time.Millisecond
+	// defaultMaxWatchers is a tenth of the calls a second that a store of the
+	// smallest size gives to reads.
+	defaultMaxWatchers = 200
 )
 
+// defaultRetry is a common retry budget: a tenth of the requests of 10 s.
+var defaultRetry = Retry{Ratio: 0.1, Window: Span(10 * time.Second)}
+
 // Defaults returns the settings that hold where a file says nothing.
 func Defaults() Settings {
-	return Settings{StopTimeout: Span(defaultStopTimeout), Log: Log{Level: defaultLogLevel}, Policy: PolicyFull, LinkBytesPerSecond: defaultLinkBytes}
+	return Settings{
+		StopTimeout: Span(defaultStopTimeout), Log: Log{Level: defaultLogLevel}, Policy: PolicyFull,
+		LinkBytesPerSecond: defaultLinkBytes, Interface: InterfaceNative,
+		Memory:   Memory{Limit: defaultMemory, GrowthPercent: defaultGrowth},
+		Platform: Platform{AnnounceEvery: Span(defaultAnnounce), MaxWatchers: defaultMaxWatchers, Retry: defaultRetry},
+	}
 }
 
 // Fault is one thing that is wrong with a file.
@@ -142,26 +219,49 @@
 	return Settings{}, faults
 }
 
+// decode reads text into cfg. Unknown fields are found also where a value
+// can't be read.
 func decode(file string, text []byte, cfg *Settings) Faults {
-	// The strict pass finds every unknown field; a wrong type ends it early.
-	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(cfg)
-	if err == nil {
-		return nil
-	}
-	if missing, ok := errors.Into[*toml.StrictMissingError](err); ok {
-		var faults Faults
-		for i := range missing.Errors {
-			field := fieldName(missing.Errors[i].Key())
+	var raw map[string]any
+	faults := Faults{}
+	if err := toml.Unmarshal(text, &raw); err == nil {
+		for _, field := range unknown(raw, reflect.TypeFor[Settings](), nil) {
 			faults = append(faults, Fault{File: file, Field: field, What: "unknown field"})
 		}
+	}
+	err := toml.Unmarshal(text, cfg)
+	if err == nil {
 		return faults
 	}
 	if bad, ok := errors.Into[*toml.DecodeError](err); ok {
 		row, column := bad.Position()
 		field := cmp.Or(fieldName(bad.Key()), "(syntax)")
-		return Faults{{File: file, Field: field, What: fmt.Sprintf("line %d, column %d: %s", row, column, bad.Error())}}
+		what := fmt.Sprintf("line %d, column %d: %s", row, column, bad.Error())
+		return append(faults, Fault{File: file, Field: field, What: what})
+	}
+	return append(faults, Fault{File: file, Field: "(syntax)", What: err.Error()})
+}
+
+// unknown returns the fields of a table that a struct type does not have.
+func unknown(table map[string]any, t reflect.Type, path toml.Key) []string {
+	known := make(map[string]reflect.Type, t.NumField())
+	for i := range t.NumField() {
+		known[t.Field(i).Tag.Get("toml")] = t.Field(i).Type
+	}
+	var fields []string
+	for name, value := range table {
+		key := append(slices.Clone(path), name)
+		field, ok := known[name]
+		if !ok {
+			fields = append(fields, fieldName(key))
+			continue
+		}
+		if inner, ok := value.(map[string]any); ok && field.Kind() == reflect.Struct {
+			fields = append(fields, unknown(inner, field, key)...)
+		}
 	}
-	return Faults{{File: file, Field: "(syntax)", What: err.Error()}}
+	slices.Sort(fields)
+	return fields
 }
 
 // bareKey is a key that needs no quotes.
--- a/internal/edge/sqclaim/duty.go
+++ b/internal/edge/sqclaim/duty.go
@@ -8,9 +8,9 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
-	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqoperation"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqclaimwire"
 )
 
--- a/internal/edge/sqclaim/world_test.go
+++ b/internal/edge/sqclaim/world_test.go
@@ -12,9 +12,9 @@
 	"google.golang.org/grpc"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
-	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqoperation"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqclaimwire"
 )
 
--- a/internal/edge/sqdaemon/adapt.go
+++ b/internal/edge/sqdaemon/adapt.go
@@ -111,6 +111,10 @@
 	return d.Admitted, d.RetryAfter, err
 }
 
+// Return does nothing: a keeper takes no token back, so a request that is
+// refused after its charge has spent one.
+func (charger) Return(sqid.WorkspaceID) {}
+
 // keepers gives the books what the keepers record says.
 type keepers struct{ l *sqledger.Ledger }
 
--- a/internal/edge/sqdaemon/build.go
+++ b/internal/edge/sqdaemon/build.go
@@ -34,6 +34,8 @@
 	fleetName   = "sequoiatack"
 	targetsTick = 20 * time.Millisecond
 	routerTick  = time.Second
+	// connsTick is short beside the seconds for which targets keep connections.
+	connsTick = 500 * time.Millisecond
 	// evidenceTick is short, since a change should be seen at once.
 	evidenceTick = 500 * time.Millisecond
 )
@@ -46,13 +48,22 @@
 	d.metrics = sqmetric.New()
 	d.control = &sqpeer.Control{Metrics: d.metrics}
 	d.pool = &sqpeer.Pool{Options: []grpc.DialOption{d.control.Dial()}}
-	d.platform = &sqplatform.Client{Addresses: d.Settings.PlatformAddresses, Metrics: d.metrics, Logger: d.Logger}
+	if d.Adapter != nil {
+		d.platform = d.Adapter.Store(d.metrics)
+	} else {
+		d.platform = &sqplatform.Client{Addresses: d.Settings.PlatformAddresses, Metrics: d.metrics, Logger: d.Logger}
+	}
 	d.fleet = new(sqtarget.Directory)
 	d.calls = new(sqcall.Table)
 	d.buildMember()
-	d.buildLists()
-	d.buildLedger()
-	d.buildBooks()
+	if d.Adapter != nil {
+		d.buildCatalog()
+		d.buildPurse()
+	} else {
+		d.buildLists()
+		d.buildLedger()
+		d.buildBooks()
+	}
 	d.buildPath()
 	d.buildPeers()
 }
@@ -121,7 +132,7 @@
 	d.targets = &sqgate.Targets{Listener: spread{d}, NewAdmission: newAdmission(s.Policy)}
 	d.gate = &sqgate.Gate{
 		Daemon: s.DaemonName, Targets: d.targets, Calls: d.calls, Metrics: d.metrics, Logger: d.Logger,
-		Transport: sqgate.NewTransport(),
+		Conns: sqgate.NewConns(),
 	}
 	router := &sqentry.Router{
 		Targets: d.fleet,
@@ -129,9 +140,15 @@
 		Shed:    new(sqshed.Table),
 	}
 	d.entry = &sqentry.Entry{
-		Daemon: s.DaemonName, Lists: lists{d}, Router: router, Gate: d.gate, Conns: d.pool, Calls: d.calls,
-		Charger: charger{d.ledger}, Operations: operations{d.books}, Metrics: d.metrics, Logger: d.Logger, Suspect: d.member.Suspect, Stopping: d.stopping.Load,
+		Daemon: s.DaemonName, Router: router, Gate: d.gate, Conns: d.pool, Calls: d.calls,
+		Metrics: d.metrics, Logger: d.Logger, Suspect: d.member.Suspect, Stopping: d.stopping.Load,
 	}
+	if d.Adapter != nil {
+		d.adaptPath()
+	} else {
+		d.entry.Lists, d.entry.Charger, d.entry.Operations = lists{d}, charger{d.ledger}, operations{d.books}
+	}
+	d.timer.Subscribe(connsTick, d.gate)
 	d.timer.Subscribe(targetsTick, d.targets)
 	d.timer.Subscribe(routerTick, router)
 	d.timer.Subscribe(routerTick, &links{member: d.member, route: router.Route, region: s.Region, rate: s.LinkBytesPerSecond})
@@ -141,6 +158,10 @@
 	d.peers = sqpeer.NewServer(d.control.Serve())
 	(&sqgate.Server{Gate: d.gate}).Register(d.peers)
 	d.gossip.Register(d.peers)
+	if d.Adapter != nil {
+		d.purse.Register(d.peers)
+		return
+	}
 	d.ledger.Register(d.peers)
 	d.books.Register(d.peers)
 }
--- a/internal/edge/sqdaemon/daemon.go
+++ b/internal/edge/sqdaemon/daemon.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -22,8 +24,10 @@
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgossip"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqledger"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqpeer"
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqpurse"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqcatalog"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqmember"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
@@ -40,6 +44,9 @@
 type Daemon struct {
 	Settings sqsettings.Settings
 	Logger   logr.Logger
+	// Adapter makes the parts that speak another interface than the product's
+	// own; nil is the product's own.
+	Adapter Adapter
 
 	incarnation sqid.Incarnation
 	metrics     *sqmetric.Set
@@ -49,7 +56,7 @@
 	wasSettled  atomic.Bool
 	unsettled   time.Time
 
-	platform *sqplatform.Client
+	platform sqkv.Store
 	control  *sqpeer.Control
 	pool     *sqpeer.Pool
 	holder   *sqlists.Holder
@@ -67,11 +74,17 @@
 	gate     *sqgate.Gate
 	entry    *sqentry.Entry
 
+	// Under an adapter these take the place of lists, ledger and books.
+	catalogs *sqcatalog.Holder
+	catalog  *sqcatalog.Follower
+	purse    *sqpurse.Purse
+
 	peers        *grpc.Server
 	peerListener net.Listener
 	callers      *endpoint
 	local        *endpoint
 	admin        *endpoint
+	readiness    *endpoint
 }
 
 // Run serves until ctx ends and then stops gracefully: its error is nil if no
@@ -79,7 +92,9 @@
 func (d *Daemon) Run(ctx, now context.Context) error {
 	d.build()
 	defer d.pool.Close()
-	defer d.platform.Close()
+	if c, ok := d.platform.(io.Closer); ok {
+		defer c.Close()
+	}
 	if err := d.listen(); err != nil {
 		return err
 	}
@@ -107,12 +122,18 @@
 	g.Go(func() error { return d.timer.Run(run) })
 	g.Go(func() error { return d.gossip.Run(run) })
 	g.Go(func() error { return d.seeds.Run(run) })
-	g.Go(func() error { return d.follower.Run(run) })
-	g.Go(func() error { return d.ledger.Run(run) })
-	g.Go(func() error { return d.books.Run(run) })
+	if d.Adapter != nil {
+		g.Go(func() error { return d.catalog.Run(run) })
+	} else {
+		g.Go(func() error { return d.follower.Run(run) })
+		g.Go(func() error { return d.ledger.Run(run) })
+		g.Go(func() error { return d.books.Run(run) })
+	}
 	g.Go(d.servePeers)
-	for _, e := range []*endpoint{d.callers, d.local, d.admin} {
-		g.Go(e.serve)
+	for _, e := range []*endpoint{d.callers, d.local, d.admin, d.readiness} {
+		if e != nil {
+			g.Go(e.serve)
+		}
 	}
 }
 
@@ -130,16 +151,31 @@
 	if d.peerListener, err = net.Listen("tcp", d.Settings.PeerAddress); err != nil {
 		return errors.Wrap(err, "listen on peerAddress")
 	}
-	if d.callers, err = listen("callerAddress", d.Settings.CallerAddress, withoutPanic(d.entry.Callers(), d.Logger)); err != nil {
+	callers, local, admin := d.handlers()
+	if d.callers, err = listen("callerAddress", d.Settings.CallerAddress, withoutPanic(callers, d.Logger)); err != nil {
 		return err
 	}
-	if d.local, err = listen("localAddress", d.Settings.LocalAddress, withoutPanic(d.localHandler(), d.Logger)); err != nil {
+	if d.local, err = listen("localAddress", d.Settings.LocalAddress, withoutPanic(local, d.Logger)); err != nil {
 		return err
 	}
-	d.admin, err = listen("adminAddress", d.Settings.AdminAddress, withoutPanic(d.adminHandler(), d.Logger))
+	if d.Adapter != nil {
+		address, ready := d.Settings.Platform.ReadyAddress, d.Adapter.Ready(d.ready)
+		if d.readiness, err = listen("platform.readyAddress", address, ready); err != nil {
+			return err
+		}
+	}
+	d.admin, err = listen("adminAddress", d.Settings.AdminAddress, withoutPanic(admin, d.Logger))
 	return err
 }
 
+// handlers returns what the daemon's addresses serve.
+func (d *Daemon) handlers() (callers, local, admin http.Handler) {
+	if d.Adapter != nil {
+		return d.adaptedHandlers()
+	}
+	return d.entry.Callers(), d.localHandler(), d.adminHandler()
+}
+
 // settled reports whether the ledger has been settled since the daemon began,
 // or is not to be waited for any longer: a data centre that is cut off at a
 // start serves what its share allows.
@@ -170,6 +206,8 @@
 	switch {
 	case d.stopping.Load():
 		return errors.New("stopping")
+	case d.Adapter != nil:
+		return d.adaptedReady(time.Now())
 	case !d.listsKnown():
 		return errors.New("the lists are not known yet")
 	case !d.settled():
--- a/internal/edge/sqdaemon/path_test.go
+++ b/internal/edge/sqdaemon/path_test.go
@@ -43,6 +43,8 @@
 	return true, 0, nil
 }
 
+func (openCharger) Return(sqid.WorkspaceID) {}
+
 // noOperations knows no keeper.
 type noOperations struct{ sqentry.Operations }
 
@@ -82,7 +84,7 @@
 func (f *fleet) newNode(name sqid.DaemonID) *node {
 	calls := new(sqcall.Table)
 	n := &node{name: name, targets: new(sqgate.Targets)}
-	n.gate = &sqgate.Gate{Daemon: name, Targets: n.targets, Calls: calls, Metrics: f.metric, Logger: logr.Discard(), Transport: sqgate.NewTransport()}
+	n.gate = &sqgate.Gate{Daemon: name, Targets: n.targets, Calls: calls, Metrics: f.metric, Logger: logr.Discard(), Conns: sqgate.NewConns()}
 	pool := new(sqpeer.Pool)
 	entry := &sqentry.Entry{
 		Daemon: name, Lists: f.lists, Router: newRouter(f.known), Gate: n.gate, Conns: pool, Calls: calls,
--- a/internal/edge/sqdaemon/stop.go
+++ b/internal/edge/sqdaemon/stop.go
@@ -30,6 +30,9 @@
 	defer cancel()
 	d.leave(ctx)
 	_ = sqtimer.Sleep(ctx, settleTime)
+	if d.Adapter != nil {
+		d.awaitCallers(ctx)
+	}
 	d.targets.DrainAll()
 	var wg sync.WaitGroup
 	wg.Go(func() { d.callers.shutdown(ctx, d.Logger) })
@@ -39,6 +42,9 @@
 	d.local.shutdown(ctx, d.Logger)
 	d.stopPeers(ctx)
 	d.admin.shutdown(ctx, d.Logger)
+	if d.readiness != nil {
+		d.readiness.shutdown(ctx, d.Logger)
+	}
 	if cut > 0 {
 		return errors.Errorf("stop: calls cut: %d", cut)
 	}
@@ -53,6 +59,9 @@
 	if err := d.gossip.Leave(within); err != nil {
 		d.Logger.Error(err, "leaving was not passed on")
 	}
+	if d.ledger == nil {
+		return
+	}
 	within, cancel = context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	if err := d.ledger.Stop(within); err != nil {
--- a/internal/edge/sqentry/answer.go
+++ b/internal/edge/sqentry/answer.go
@@ -1,6 +1,7 @@
 package sqentry
 
 import (
+	"bytes"
 	"net/http"
 	"time"
 
@@ -25,6 +26,13 @@
 	// answer is read to its end then, also if the caller has gone.
 	record *record
 
+	// hold has a whole failure of the target kept in failed instead of written,
+	// so that another target can be tried.
+	hold   bool
+	failed *sqcallwire.AnswerFrame
+	// failedBelow says that a nested call of the target's had failed for good.
+	failedBelow bool
+
 	begun   bool
 	last    bool
 	refusal *sqerror.Error
@@ -45,6 +53,7 @@
 		a.last = true
 		a.load = frame.GetLoad()
 		a.credit = squnit.Credit(frame.GetCreditLeft())
+		a.failedBelow = frame.GetFailedBelow()
 	}
 	a.received += squnit.Bytes(len(frame.GetBody()))
 	head := frame.GetHead()
@@ -52,6 +61,9 @@
 	case head.GetRefusal() != nil:
 		a.refusal = refusalOf(head)
 		return nil
+	case head != nil && a.hold && a.last && head.GetStatus() >= http.StatusInternalServerError:
+		a.failed = &sqcallwire.AnswerFrame{Head: head, Body: bytes.Clone(frame.GetBody()), Last: true}
+		return nil
 	case head != nil:
 		a.begin(head)
 	case !a.begun:
@@ -66,6 +78,12 @@
 	return nil
 }
 
+// pass writes a failure that was held.
+func (a *answer) pass() {
+	a.begin(a.failed.GetHead())
+	_ = a.write(a.failed)
+}
+
 func (a *answer) begin(head *sqcallwire.AnswerHead) {
 	a.begun = true
 	h := a.w.Header()
--- a/internal/edge/sqentry/attempt.go
+++ b/internal/edge/sqentry/attempt.go
@@ -14,7 +14,6 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
 )
@@ -23,7 +22,11 @@
 // been passed on whole. An answer that is cut after it was begun cuts the
 // caller's connection, by panicking as net/http asks.
 func (q *request) attempt(w http.ResponseWriter, t sqtarget.Row) *sqerror.Error {
-	a := &answer{w: w, control: http.NewResponseController(w), prepare: q.answerHeaders, record: q.record}
+	a := &answer{
+		w: w, control: http.NewResponseController(w), prepare: q.answerHeaders, record: q.record,
+		hold: !q.NonIdempotent && q.record == nil,
+	}
+	q.last = a
 	start := time.Now()
 	q.entry.Router.Route.Started(t.ID)
 	err := q.exchange(t, a)
@@ -34,7 +37,7 @@
 	switch {
 	case refusal == nil:
 		if len(q.tried) == 1 {
-			q.entry.Router.budget(q.service).Succeeded(start)
+			q.entry.Router.budget(q.Service).Succeeded(start)
 		}
 		q.entry.Metrics.Calls.WithLabelValues(squnit.RunDone.String()).Inc()
 	case a.begun:
@@ -66,31 +69,26 @@
 func (q *request) held() squnit.Credit { return min(q.credit, 1) }
 
 func (q *request) answerHeaders(h http.Header, run squnit.RunState) {
-	h.Set(sqheader.Run, run.String())
-	if q.parent == nil && q.nonIdempotent && q.workspace != "" {
-		if key := q.entry.Operations.Mint(time.Now()); key != "" {
-			h.Set(sqheader.NextKey, key)
-		}
-	}
+	q.front.Answer(h, &q.Ask, run)
 }
 
 func (q *request) exchange(t sqtarget.Row, a *answer) error {
 	head := q.head(t)
 	if t.ID.Daemon == q.entry.Daemon {
-		return q.entry.Gate.Serve(q.ctx, head, q.body.reader(), a)
+		return q.entry.Gate.Serve(q.ctx, head, q.body.reader(), q.body.whole, a)
 	}
 	return q.remote(t, head, a)
 }
 
 func (q *request) head(t sqtarget.Row) *sqcallwire.CallHead {
 	return &sqcallwire.CallHead{
-		Service: string(q.service), Target: string(t.ID.Target), Method: q.method, Path: q.path,
-		Headers: q.headers, Workspace: string(q.workspace),
-		Importance: uint32(q.importance), Weight: float64(q.weight),
-		TimeLeftUs: time.Until(q.deadline).Microseconds(),
-		Credit:     int32(q.credit - q.held()), Depth: uint32(q.depth), NonIdempotent: q.nonIdempotent,
+		Service: string(q.Service), Target: string(t.ID.Target), Method: q.method, Path: q.Path, Host: q.Host,
+		Headers: q.headers, Workspace: string(q.Workspace), RequestId: q.ID, Caller: string(q.entry.Service),
+		Importance: uint32(q.Importance), Weight: float64(q.Weight),
+		TimeLeftUs: time.Until(q.Deadline).Microseconds(),
+		Credit:     int32(q.credit - q.held()), Depth: uint32(q.depth), NonIdempotent: q.NonIdempotent,
 		Share: float64(q.share),
-		Root:  q.root, ContentLength: q.contentLength, Entry: string(q.entry.Daemon), Operation: q.operation,
+		Root:  q.root, ContentLength: q.contentLength, Entry: string(q.entry.Daemon), Operation: q.Operation,
 	}
 }
 
@@ -161,7 +159,7 @@
 		return a.refusal
 	}
 	if err == nil && a.last {
-		return nil
+		return q.failure(t, a)
 	}
 	e := sqerror.Uncertain(sqerror.StepPeer, sqreason.PeerBroken, err)
 	e.Peer = t.ID.Daemon
@@ -179,3 +177,13 @@
 	}
 	return e
 }
+
+// failure returns the refusal that stands for a held failure of the target.
+func (q *request) failure(t sqtarget.Row, a *answer) *sqerror.Error {
+	if a.failed == nil {
+		return nil
+	}
+	e := sqerror.Uncertain(sqerror.StepTarget, sqreason.TargetFailed, nil)
+	e.Peer = t.ID.Daemon
+	return e
+}
--- a/internal/edge/sqentry/charge.go
+++ b/internal/edge/sqentry/charge.go
@@ -15,14 +15,16 @@
 	// retryAfter is when the next one would be. An error says that nobody
 	// could tell; the request must not run then.
 	Charge(ctx context.Context, w sqid.WorkspaceID) (admitted bool, retryAfter time.Duration, err error)
+	// Return gives back what was spent on a request that has not run.
+	Return(w sqid.WorkspaceID)
 }
 
 // charge spends a caller's request; nested calls and open routes are free.
 func (q *request) charge(ctx context.Context) *sqerror.Error {
-	if q.parent != nil || q.workspace == "" {
+	if q.Parent != nil || q.Workspace == "" {
 		return nil
 	}
-	admitted, retryAfter, err := q.entry.Charger.Charge(ctx, q.workspace)
+	admitted, retryAfter, err := q.entry.Charger.Charge(ctx, q.Workspace)
 	if err != nil {
 		return sqerror.Refuse(sqerror.StepLedger, sqreason.LedgerUnavailable, err)
 	}
@@ -31,5 +33,6 @@
 		e.RetryAfter = retryAfter
 		return e
 	}
+	q.charged = true
 	return nil
 }
--- /dev/null
+++ b/internal/edge/sqentry/decide.go
@@ -0,0 +1,56 @@
+package sqentry
+
+import (
+	"time"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqcatalog"
+)
+
+// Decide fills in what a catalog says of a request, of which the host, the path
+// and the parent are known. key is the caller's, empty if it sent none; timeout
+// is how long the caller waits, 0 if it does not say. It returns the refusal of
+// a request that is not allowed.
+func (a *Ask) Decide(c *sqcatalog.Catalog, key string, timeout time.Duration, now time.Time) *sqerror.Error {
+	r, ok := c.Match(a.Host, a.Path)
+	if !ok {
+		return refuse(sqreason.ServiceUnknown, nil)
+	}
+	a.Service, a.Route = r.Choose(), r.Name
+	a.NonIdempotent, a.Importance = r.NonIdempotent, r.Importance
+	a.Credit = squnit.Credit(r.Attempts - 1)
+	a.BodyMost = c.Limits.BodyBytes
+	if timeout == 0 || timeout > r.Timeout {
+		timeout = r.Timeout
+	}
+	a.Deadline, a.Latency = now.Add(timeout), r.Latency
+	if p := a.Parent; p != nil {
+		// What a nested call is worth is what the whole request is worth.
+		a.Workspace, a.Importance, a.Weight = p.Workspace, p.Importance, p.Weight
+		if p.Deadline.Before(a.Deadline) {
+			a.Deadline = p.Deadline
+		}
+		return nil
+	}
+	if key == "" {
+		if !r.Open && c.Keyed() {
+			return refuse(sqreason.KeyMissing, nil)
+		}
+		return nil
+	}
+	w, ok := c.Workspace(sqid.DigestKey(key))
+	if !ok {
+		if r.Open {
+			return nil
+		}
+		return refuse(sqreason.KeyUnknown, nil)
+	}
+	a.Workspace, a.Weight = w.Name, squnit.Weight(max(1, w.Plan.Rate))
+	if w.Importance != nil {
+		a.Importance = *w.Importance
+	}
+	return nil
+}
--- a/internal/edge/sqentry/entry.go
+++ b/internal/edge/sqentry/entry.go
@@ -4,13 +4,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
-	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/gorilla/mux"
 	"google.golang.org/grpc"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
@@ -19,10 +17,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqproblem"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
-	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
 )
 
 const (
@@ -34,12 +29,42 @@
 	MaxKeyBytes = 256
 )
 
-// Lists gives the lists in force.
-type Lists interface {
-	// Index returns the index of the lists, nil before any are known.
-	Index() *sqlists.Index
-	// Stale reports whether the lists are too old to serve by.
-	Stale(now time.Time) bool
+// Ask is what a front has read of one request, before anything of it has run.
+type Ask struct {
+	// ID is the id that the caller gave the request, empty if none.
+	ID      string
+	Service sqid.ServiceID
+	// Path is the request target as the service is to see it.
+	Path string
+	// Host is the host that the caller named, empty if targets aren't told.
+	Host      string
+	Workspace sqid.WorkspaceID
+	// Route tells the requests of a service apart that share a fate.
+	Route         string
+	Importance    squnit.Importance
+	Weight        squnit.Weight
+	NonIdempotent bool
+	Deadline      time.Time
+	// Latency is the time within which an answer is worth most, 0 if unknown.
+	Latency time.Duration
+	// Credit is the number of attempts beyond the first.
+	Credit squnit.Credit
+	// Operation is the caller's idempotency key, empty if none.
+	Operation string
+	// Parent is the call that a nested call is made for, nil for callers'.
+	Parent *sqcall.Call
+	// BodyMost bounds the body; 0 stands for MaxBodyBytes.
+	BodyMost squnit.Bytes
+}
+
+// Front is how the callers of one address speak with the entry.
+type Front interface {
+	// Ask reads a request and decides whether it is allowed.
+	Ask(r *http.Request, now time.Time) (Ask, *sqerror.Error)
+	// Answer adds the front's own headers to a target's answer.
+	Answer(h http.Header, a *Ask, run squnit.RunState)
+	// Refuse answers a request that no target has answered.
+	Refuse(w http.ResponseWriter, a *Ask, e *sqerror.Error)
 }
 
 // Conns gives the connections to peers.
@@ -50,11 +75,13 @@
 // Entry serves callers and nested calls.
 type Entry struct {
 	Daemon sqid.DaemonID
-	Lists  Lists
-	Router *Router
-	Gate   *sqgate.Gate
-	Conns  Conns
-	Calls  *sqcall.Table
+	// Service is that of the host's target, told to the targets of others.
+	Service sqid.ServiceID
+	Lists   Lists
+	Router  *Router
+	Gate    *sqgate.Gate
+	Conns   Conns
+	Calls   *sqcall.Table
 	// Charger spends the workspaces' rates.
 	Charger Charger
 	// Operations decides on requests with idempotency keys.
@@ -63,166 +90,50 @@
 	Logger     logr.Logger
 	// Suspect is told of a daemon that could not be reached.
 	Suspect func(id sqid.DaemonID)
+	active atomic.Int64
 	// Stopping reports whether a planned stop has begun; connections are
 	// closed after their answers then.
 	Stopping func() bool
 }
 
-// Callers returns the handler of the callers' address.
-func (e *Entry) Callers() http.Handler {
-	m := mux.NewRouter().UseEncodedPath().SkipClean(true)
-	m.HandleFunc("/sequoiatack/operations", e.serveMint).Methods(http.MethodPost)
-	m.HandleFunc("/{service}", e.serveCaller)
-	m.HandleFunc("/{service}/{path:.*}", e.serveCaller)
-	m.NotFoundHandler = http.HandlerFunc(e.notFound)
-	return m
+// Handler returns the handler of an address whose callers speak as f.
+func (e *Entry) Handler(f Front) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(f, w, r) })
 }
 
-// Nested returns the handler of nested calls on the local address.
-func (e *Entry) Nested() http.Handler {
-	m := mux.NewRouter().UseEncodedPath().SkipClean(true)
-	m.HandleFunc("/call/{service}", e.serveNested)
-	m.HandleFunc("/call/{service}/{path:.*}", e.serveNested)
-	m.NotFoundHandler = http.HandlerFunc(e.notFound)
-	return m
-}
-
-func (e *Entry) notFound(w http.ResponseWriter, _ *http.Request) {
-	e.refuse(w, refuse(sqreason.ServiceUnknown, nil))
-}
+// Active returns the number of requests that the entry serves now.
+func (e *Entry) Active() int { return int(e.active.Load()) }
 
-func (e *Entry) serveCaller(w http.ResponseWriter, r *http.Request) {
+func (e *Entry) serve(f Front, w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
+	e.active.Add(1)
+	defer e.active.Add(-1)
 	defer func() { e.Metrics.CallSeconds.Observe(time.Since(start).Seconds()) }()
-	if e.Stopping() {
-		w.Header().Set("Connection", "close")
-	}
-	q, refusal := e.callerRequest(r, start)
+	a, refusal := f.Ask(r, start)
 	if refusal != nil {
-		e.refuse(w, refusal)
+		e.refuse(f, w, &a, refusal)
 		return
 	}
-	q.serve(w, r)
-}
-
-// serveMint gives a caller a fresh idempotency key.
-func (e *Entry) serveMint(w http.ResponseWriter, r *http.Request) {
-	index := e.Lists.Index()
-	key, err := sqheader.Key(r.Header)
-	if index == nil || err != nil || key == "" {
-		e.refuse(w, refuse(sqreason.KeyMissing, err))
-		return
-	}
-	if _, ok := index.Workspace(sqid.DigestKey(key)); !ok {
-		e.refuse(w, refuse(sqreason.KeyUnknown, nil))
-		return
-	}
-	minted := e.Operations.Mint(time.Now())
-	if minted == "" {
-		e.refuse(w, refuse(sqreason.OperationHomeAway, nil))
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(Minted{IdempotencyKey: minted})
-}
-
-// Minted is the answer to a request for a fresh key.
-type Minted struct {
-	IdempotencyKey string `json:"idempotencyKey"`
-}
-
-func (e *Entry) serveNested(w http.ResponseWriter, r *http.Request) {
-	q, refusal := e.nestedRequest(r, time.Now())
-	if refusal != nil {
-		e.refuse(w, refusal)
-		return
+	q := e.newRequest(f, &a, r, start)
+	defer func() { q.cancel() }()
+	if q.Parent != nil {
+		q.grant = q.Parent.Began(start)
+		q.credit = min(q.credit, q.grant)
+		defer q.end()
+		stop := context.AfterFunc(q.Parent.Context, q.cancel)
+		defer stop()
 	}
-	defer q.end()
-	stop := context.AfterFunc(q.parent.Context, q.cancel)
-	defer stop()
 	q.serve(w, r)
 }
 
-// callerRequest decides whether a caller's request may run.
-func (e *Entry) callerRequest(r *http.Request, now time.Time) (*request, *sqerror.Error) {
-	index := e.Lists.Index()
-	if index == nil || e.Lists.Stale(now) {
-		return nil, refuse(sqreason.ListsStale, nil)
-	}
-	key, err := sqheader.Key(r.Header)
-	if err != nil {
-		return nil, refuse(sqreason.KeyMissing, err)
-	}
-	timeout, err := sqheader.TimeoutOf(r.Header)
-	if err != nil {
-		return nil, refuse(sqreason.BadRequest, err)
-	}
-	service, path := split(r, "/")
-	route, reason := index.Route(key, service, r.Method, path)
-	if reason != sqreason.NoReason {
-		return nil, refuse(reason, nil)
-	}
-	if timeout == 0 || timeout > route.Timeout {
-		timeout = route.Timeout
-	}
-	q := e.newRequest(r, service, path, now.Add(timeout))
-	q.workspace, q.importance, q.kind = route.Workspace, route.Importance, route.Kind
-	q.nonIdempotent = route.NonIdempotent
-	q.credit, q.weight = route.Retries, route.Plan.Weight
-	q.root = string(sqid.NewCallID())
-	return q, nil
-}
-
-// nestedRequest takes what a nested call may do from its parent's row.
-func (e *Entry) nestedRequest(r *http.Request, now time.Time) (*request, *sqerror.Error) {
-	parent, ok := e.Calls.Get(sqid.CallID(r.Header.Get(sqheader.Call)))
-	if !ok {
-		return nil, refuse(sqreason.CallUnknown, nil)
-	}
-	if parent.Depth >= MaxDepth {
-		return nil, refuse(sqreason.DepthExceeded, nil)
-	}
-	index := e.Lists.Index()
-	if index == nil {
-		return nil, refuse(sqreason.ListsStale, nil)
-	}
-	timeout, err := sqheader.TimeoutOf(r.Header)
-	if err != nil {
-		return nil, refuse(sqreason.BadRequest, err)
-	}
-	service, path := split(r, "/call/")
-	deadline := parent.Deadline
-	if timeout > 0 && now.Add(timeout).Before(deadline) {
-		deadline = now.Add(timeout)
-	}
-	q := e.newRequest(r, service, path, deadline)
-	q.workspace, q.importance, q.weight = parent.Workspace, parent.Importance, parent.Weight
-	q.nonIdempotent = index.Nested(parent.Workspace, service, r.Method, path).NonIdempotent
-	q.depth, q.root, q.share = parent.Depth+1, parent.Root, parent.Share
-	q.parent, q.grant = parent, parent.Began(now)
-	q.credit = q.grant
-	return q, nil
-}
-
-// split returns the service and the path below it; prefix stands before them.
-func split(r *http.Request, prefix string) (sqid.ServiceID, string) {
-	rest := strings.TrimPrefix(r.URL.EscapedPath(), prefix)
-	service, path, _ := strings.Cut(rest, "/")
-	path = "/" + path
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
-	}
-	return sqid.ServiceID(service), path
-}
-
 // refuse answers a request that the system does not serve.
-func (e *Entry) refuse(w http.ResponseWriter, refusal *sqerror.Error) {
+func (e *Entry) refuse(f Front, w http.ResponseWriter, a *Ask, refusal *sqerror.Error) {
 	if refusal.Peer == "" {
 		refusal.Peer = e.Daemon
 	}
 	e.Metrics.Refusals.WithLabelValues(string(refusal.Reason)).Inc()
 	e.Metrics.Calls.WithLabelValues(refusal.Run.String()).Inc()
-	sqproblem.Write(w, refusal)
+	f.Refuse(w, a, refusal)
 }
 
 func refuse(reason sqreason.Refusal, err error) *sqerror.Error {
--- a/internal/edge/sqentry/operation.go
+++ b/internal/edge/sqentry/operation.go
@@ -31,20 +31,20 @@
 // named reports whether the request is an operation with a key. On routes that
 // are open to all a key names nothing: callers can't be told apart there.
 func (q *request) named() bool {
-	return q.operation != "" && q.nonIdempotent && q.workspace != ""
+	return q.Operation != "" && q.NonIdempotent && q.Workspace != ""
 }
 
 // serveOperation runs a request with an idempotency key. It goes on when the
 // caller leaves, so that a repeat finds the answer.
 func (q *request) serveOperation(w http.ResponseWriter, r *http.Request) *sqerror.Error {
-	if len(q.operation) > MaxKeyBytes {
+	if len(q.Operation) > MaxKeyBytes {
 		return refuse(sqreason.BadRequest, errors.Errorf("%s has more than %d bytes", sqheader.IdempotencyKey, MaxKeyBytes))
 	}
 	q.cancel()
-	q.ctx, q.cancel = context.WithDeadline(context.WithoutCancel(r.Context()), q.deadline.Add(deadlineGrace))
-	key := sqoperation.Key{Workspace: q.workspace, Text: q.operation}
-	fingerprint := sqoperation.FingerprintOf(q.method, string(q.service), q.path, q.contentLength, q.body.first)
-	finish, replay, refusal := q.entry.Operations.Begin(q.ctx, key, fingerprint, q.deadline)
+	q.ctx, q.cancel = context.WithDeadline(context.WithoutCancel(r.Context()), q.Deadline.Add(deadlineGrace))
+	key := sqoperation.Key{Workspace: q.Workspace, Text: q.Operation}
+	fingerprint := sqoperation.FingerprintOf(q.method, string(q.Service), q.Path, q.contentLength, q.body.first)
+	finish, replay, refusal := q.entry.Operations.Begin(q.ctx, key, fingerprint, q.Deadline)
 	switch {
 	case refusal != nil:
 		return refusal
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -17,7 +17,6 @@
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqretry"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqshed"
-	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
 )
@@ -33,31 +32,25 @@
 
 // request is one request on its way through the entry.
 type request struct {
+	Ask
 	entry *Entry
+	front Front
 
-	service       sqid.ServiceID
-	path          string
 	method        string
-	workspace     sqid.WorkspaceID
-	kind          string
-	importance    squnit.Importance
-	weight        squnit.Weight
-	nonIdempotent bool
-	deadline      time.Time
 	credit        squnit.Credit
 	depth         squnit.Depth
 	root          string
 	share         squnit.Share
-	operation     string
 	record        *record
 	headers       []*sqcallwire.Header
 	contentLength int64
 	body          *body
+	began         time.Time
+	// charged is set while a request of the workspace's rate is spent on it.
+	charged bool
 
-	// parent is the call that a nested call is made for, and grant the part
-	// of its credit that came with it.
-	parent *sqcall.Call
-	grant  squnit.Credit
+	// grant is the part of the parent's credit that came with a nested call.
+	grant squnit.Credit
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -65,23 +58,28 @@
 	reroutes int
 	tries    int
 	sheds    int
+	// last is the sink of the last attempt.
+	last *answer
 	// mayHaveRun is set once the outcome of an attempt is not certain.
 	mayHaveRun bool
 }
 
-func (e *Entry) newRequest(r *http.Request, s sqid.ServiceID, path string, deadline time.Time) *request {
+func (e *Entry) newRequest(f Front, a *Ask, r *http.Request, now time.Time) *request {
 	q := &request{
-		entry: e, service: s, path: path, method: r.Method, deadline: deadline,
+		Ask: *a, entry: e, front: f, method: r.Method, began: now, credit: a.Credit,
 		headers: sqheader.Outward(r.Header), contentLength: r.ContentLength,
-		operation: r.Header.Get(sqheader.IdempotencyKey),
 	}
-	q.ctx, q.cancel = context.WithDeadline(r.Context(), deadline.Add(deadlineGrace))
+	if q.Parent != nil {
+		q.depth, q.root, q.share = q.Parent.Depth+1, q.Parent.Root, q.Parent.Share
+	} else {
+		q.root = cmp.Or(a.ID, string(sqid.NewCallID()))
+	}
+	q.ctx, q.cancel = context.WithDeadline(r.Context(), a.Deadline.Add(deadlineGrace))
 	return q
 }
 
 // serve runs the request and answers it.
 func (q *request) serve(w http.ResponseWriter, r *http.Request) {
-	defer func() { q.cancel() }()
 	refusal := q.prepare(w, r)
 	switch {
 	case refusal != nil:
@@ -91,31 +89,46 @@
 		refusal = q.attempts(w)
 	}
 	if refusal != nil {
-		q.entry.refuse(w, refusal)
+		q.refuse(w, refusal)
+	}
+}
+
+// refuse answers the request in place of a target. A request that has not run
+// spends nothing of its workspace's rate.
+func (q *request) refuse(w http.ResponseWriter, refusal *sqerror.Error) {
+	if q.charged && refusal.Run == squnit.RunNot {
+		q.entry.Charger.Return(q.Workspace)
 	}
+	if q.Parent != nil {
+		q.Parent.Failed()
+	}
+	q.entry.refuse(q.front, w, &q.Ask, refusal)
 }
 
 // prepare reads the body's first part and charges the request.
 func (q *request) prepare(w http.ResponseWriter, r *http.Request) *sqerror.Error {
-	if r.ContentLength > int64(MaxBodyBytes) {
+	most := int64(cmp.Or(q.BodyMost, MaxBodyBytes))
+	if r.ContentLength > most {
 		return refuse(sqreason.BodyTooLarge, nil)
 	}
-	if !q.entry.Router.Known(q.service) {
+	if !q.entry.Router.Known(q.Service) {
 		return refuse(sqreason.ServiceUnknown, nil)
 	}
-	if refusal := q.charge(q.ctx); refusal != nil {
+	if refusal := q.shed(); refusal != nil {
 		return refusal
 	}
-	if refusal := q.shed(); refusal != nil {
+	if refusal := q.charge(q.ctx); refusal != nil {
 		return refusal
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, int64(MaxBodyBytes))
+	r.Body = http.MaxBytesReader(w, r.Body, most)
 	b, err := readBody(r)
 	if err != nil {
 		return bodyRefusal(err)
 	}
 	q.body = b
-	if !b.whole {
+	if b.whole {
+		q.contentLength = int64(len(b.first))
+	} else {
 		// Without it the server reads all of the body before it answers.
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
@@ -144,7 +157,10 @@
 	for {
 		target, reason := q.entry.Router.pick(q)
 		if reason != sqreason.NoReason {
-			return cmp.Or(last, refuse(reason, nil))
+			if last != nil {
+				return q.final(last)
+			}
+			return refuse(reason, nil)
 		}
 		q.tried = append(q.tried, target.ID)
 		refusal := q.attempt(w, target)
@@ -153,12 +169,26 @@
 		}
 		q.mayHaveRun = q.mayHaveRun || refusal.Run != squnit.RunNot
 		if !q.retry(refusal) {
-			return refusal
+			return q.final(refusal)
 		}
 		last = refusal
 	}
 }
 
+// final passes a failure of the target's own on, if that is what the last
+// attempt ended with, and returns any other refusal.
+func (q *request) final(refusal *sqerror.Error) *sqerror.Error {
+	if q.last.failed == nil {
+		return refusal
+	}
+	q.last.pass()
+	if q.Parent != nil {
+		q.Parent.Failed()
+	}
+	q.entry.Metrics.Calls.WithLabelValues(squnit.RunDone.String()).Inc()
+	return nil
+}
+
 // retry decides whether another attempt is made after a refusal, and waits
 // for as long as it should be put off.
 func (q *request) retry(e *sqerror.Error) bool {
@@ -168,23 +198,24 @@
 	}
 	q.tries++
 	now := time.Now()
-	budget := q.entry.Router.budget(q.service)
+	budget := q.entry.Router.budget(q.Service)
 	if e.Reason.Overload() {
 		q.sheds++
 	}
 	verdict := sqretry.Decide(newRand(), sqretry.Attempt{
-		NonIdempotent: q.nonIdempotent,
+		NonIdempotent: q.NonIdempotent,
 		Run:           e.Run,
 		Reason:        e.Reason,
 		Tries:         q.tries,
 		Sheds:         q.sheds,
-		Left:          q.deadline.Sub(now),
-		Usual:         q.entry.Router.Route.Usual(q.service),
+		Left:          q.Deadline.Sub(now),
+		Usual:         q.entry.Router.Route.Usual(q.Service),
 		Credit:        q.credit,
 		Budget:        budget.Left(now),
-		ServiceSheds:  q.entry.Router.Route.Sheds(now, q.service),
-		OtherTarget:   len(q.entry.Router.Targets.Service(q.service)) > len(q.tried),
+		ServiceSheds:  q.entry.Router.Route.Sheds(now, q.Service),
+		OtherTarget:   len(q.entry.Router.Targets.Service(q.Service)) > len(q.tried),
 		BodySpent:     !q.body.again(),
+		FailedBelow:   q.last.failedBelow,
 	})
 	q.entry.Metrics.Retries.WithLabelValues(string(verdict.Reason)).Inc()
 	if !verdict.Retry || !budget.Take(now) {
@@ -203,7 +234,7 @@
 	if e.Run != squnit.RunNot || !e.Reason.Gone() || q.reroutes >= maxReroutes || !q.body.again() {
 		return false
 	}
-	if q.ctx.Err() != nil || !time.Now().Before(q.deadline) {
+	if q.ctx.Err() != nil || !time.Now().Before(q.Deadline) {
 		return false
 	}
 	q.reroutes++
@@ -212,15 +243,15 @@
 
 // class is what the request's shedding is decided by.
 func (q *request) class() sqshed.Class {
-	return sqshed.Class{Service: q.service, Route: q.kind, Workspace: q.workspace}
+	return sqshed.Class{Service: q.Service, Route: q.Route, Workspace: q.Workspace}
 }
 
 // shed refuses a request that the services have no room for.
 func (q *request) shed() *sqerror.Error {
-	if q.parent != nil {
+	if q.Parent != nil {
 		return nil
 	}
-	d := q.entry.Router.Shed.Admit(time.Now(), newRand(), q.class(), q.importance)
+	d := q.entry.Router.Shed.Admit(time.Now(), newRand(), q.class(), q.Importance)
 	q.share = d.Share
 	if !d.OK {
 		return refuse(d.Reason, nil)
@@ -230,7 +261,7 @@
 
 // end gives a nested call's unused credit back to its parent.
 func (q *request) end() {
-	q.parent.Ended(time.Now(), q.grant, max(q.credit, 0))
+	q.Parent.Ended(time.Now(), q.grant, max(q.credit, 0))
 }
 
 func formatLength(n int64) string { return strconv.FormatInt(n, 10) }
--- a/internal/edge/sqentry/router.go
+++ b/internal/edge/sqentry/router.go
@@ -43,9 +43,9 @@
 
 // pick returns a target that the request has not tried yet.
 func (t *Router) pick(q *request) (sqtarget.Row, sqreason.Refusal) {
-	rows := t.Targets.Service(q.service)
+	rows := t.Targets.Service(q.Service)
 	c := t.Route.Pick(time.Now(), newRand(), rows, sqroute.Request{
-		Service: q.service, Importance: q.importance, Exclude: q.tried,
+		Service: q.Service, Importance: q.Importance, Exclude: q.tried,
 	})
 	return c.Row, c.Reason
 }
@@ -74,13 +74,13 @@
 		return
 	}
 	own := sqshed.Room{
-		Service: q.service, Level: squnit.Importance(l.GetLevel()),
+		Service: q.Service, Level: squnit.Importance(l.GetLevel()),
 		Share: squnit.Share(1 - l.GetShed()), All: squnit.Share(1 - l.GetShedAll()),
 		Typical: squnit.Share(l.GetTypical()),
 	}
 	deeper := roomsOf(l)
-	if q.parent != nil {
-		q.parent.Learned(own, deeper)
+	if q.Parent != nil {
+		q.Parent.Learned(own, deeper)
 		return
 	}
 	t.Shed.Learn(now, q.class(), own, deeper)
--- a/internal/edge/sqgate/exchange.go
+++ b/internal/edge/sqgate/exchange.go
@@ -1,20 +1,20 @@
 package sqgate
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"net/url"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqpool"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqconn"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqadmit"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
@@ -35,78 +35,67 @@
 	ticket *ticket
 	out    Sink
 
-	// connected is set once bytes of the request may have been written.
-	connected atomic.Bool
+	// short is set if the request's body is at hand as a whole.
+	short bool
+}
+
+// answerBuffer returns a buffer for an answer of a length, -1 if unknown. A
+// short answer fits with a byte to spare, so that its end is seen at once.
+func answerBuffer(length int64) (buf []byte, release func()) {
+	if length >= 0 && length < FrameBytes {
+		return make([]byte, length+1), func() {}
+	}
+	frame := buffers.Get()
+	return frame[:], func() { buffers.Put(frame) }
 }
 
 func (x *exchange) run(ctx context.Context, body io.Reader) error {
 	start := time.Now()
-	resp, err := x.send(ctx, body)
+	resp, err := x.gate.Conns.Do(ctx, x.ticket.address, x.request(ctx, body))
 	if err != nil {
-		return x.fail(x.classify(ctx, err), start)
+		return x.fail(classify(ctx, err), start)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(sqheader.Run) == squnit.RunNot.String() {
-		return x.fail(sqerror.Refuse(sqerror.StepTarget, sqreason.ShedByTarget, nil), start)
+	v := x.gate.speech().Judge(resp)
+	switch {
+	case v.Moved:
+		x.gate.moved(x.head, x.ticket.address)
+		return x.fail(sqerror.Refuse(sqerror.StepTarget, sqreason.TargetNone, errMoved), start)
+	case v.Refused != sqreason.NoReason:
+		return x.fail(sqerror.Refuse(sqerror.StepTarget, v.Refused, nil), start)
+	case v.Broken:
+		err := errors.Errorf("answer with status %d can't be passed on", resp.StatusCode)
+		return x.fail(sqerror.Uncertain(sqerror.StepTarget, sqreason.TargetBroken, err), start)
 	}
 	return x.answer(ctx, resp, start)
 }
 
-// send writes the request to the target and returns its answer's head.
-func (x *exchange) send(ctx context.Context, body io.Reader) (*http.Response, error) {
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { x.connected.Store(true) },
-	})
-	r, err := x.request(ctx, body)
-	if err != nil {
-		return nil, err
-	}
-	return x.gate.Transport.RoundTrip(r)
-}
+var errMoved = errors.New("another target has the address")
 
-func (x *exchange) request(ctx context.Context, body io.Reader) (*http.Request, error) {
-	u, err := url.ParseRequestURI(x.head.GetPath())
-	if err != nil {
-		return nil, errors.Wrap(err, "parse path")
-	}
-	u.Scheme, u.Host = "http", x.ticket.address
-	r := (&http.Request{
-		Method:        x.head.GetMethod(),
-		URL:           u,
-		Host:          x.ticket.address,
-		Header:        make(http.Header, len(x.head.GetHeaders())+3),
-		ContentLength: x.head.GetContentLength(),
-	}).WithContext(ctx)
-	if r.ContentLength != 0 || x.head.GetNonIdempotent() {
-		// The transport repeats a request on a new connection only if its
-		// body is empty or can be read again; this one can't.
-		r.Body = onceBody{body}
-	}
-	sqheader.Set(r.Header, x.head.GetHeaders())
-	if _, ok := r.Header["User-Agent"]; !ok {
-		r.Header["User-Agent"] = nil
+// request is the call as it goes to the target.
+func (x *exchange) request(ctx context.Context, body io.Reader) *sqconn.Request {
+	h := make(http.Header, len(x.head.GetHeaders())+toldHeaders)
+	sqheader.Set(h, x.head.GetHeaders())
+	deadline, _ := ctx.Deadline()
+	x.gate.speech().Tell(h, Told{
+		Call: x.call.ID, Workspace: x.call.Workspace, RequestID: x.head.GetRequestId(),
+		Caller: sqid.ServiceID(x.head.GetCaller()), Target: x.call.Target, Nested: x.call.Depth > 0,
+		Left: max(time.Until(deadline), 0),
+	})
+	return &sqconn.Request{
+		ID: x.head.GetRequestId(), Method: x.head.GetMethod(), URI: x.head.GetPath(),
+		Host: cmp.Or(x.head.GetHost(), x.ticket.address), Header: h,
+		Body: body, Length: x.head.GetContentLength(), Short: x.short,
 	}
-	r.Header.Set(sqheader.Call, string(x.call.ID))
-	r.Header.Set(sqheader.Workspace, x.head.GetWorkspace())
-	r.Header.Set(sqheader.Deadline, timeLeft(ctx))
-	return r, nil
 }
 
-// onceBody hides every method of a body but Read.
-type onceBody struct{ io.Reader }
-
-// Close does nothing.
-func (onceBody) Close() error { return nil }
-
-func timeLeft(ctx context.Context) string {
-	deadline, _ := ctx.Deadline()
-	return max(time.Until(deadline), 0).Round(time.Millisecond).String()
-}
+// toldHeaders is room for the headers that a speech adds.
+const toldHeaders = 6
 
 // classify says what an error before the answer's head means.
-func (x *exchange) classify(ctx context.Context, err error) *sqerror.Error {
+func classify(ctx context.Context, err error) *sqerror.Error {
 	run := squnit.RunUnknown
-	if !x.connected.Load() {
+	if e, ok := errors.Into[*sqconn.Error](err); ok && !e.Sent {
 		run = squnit.RunNot
 	}
 	reason := sqreason.TargetBroken
@@ -118,15 +107,7 @@
 	case run == squnit.RunNot:
 		reason = sqreason.TargetUnreachable
 	}
-	return &sqerror.Error{Step: sqerror.StepTarget, Reason: reason, Run: run, Err: withoutURL(err)}
-}
-
-// withoutURL drops the target's address, which is no caller's business.
-func withoutURL(err error) error {
-	if e, ok := errors.Into[*url.Error](err); ok {
-		return e.Err
-	}
-	return err
+	return &sqerror.Error{Step: sqerror.StepTarget, Reason: reason, Run: run, Err: err}
 }
 
 func (x *exchange) fail(e *sqerror.Error, start time.Time) error {
@@ -143,13 +124,12 @@
 		Run:           uint32(squnit.RunDone),
 		ContentLength: resp.ContentLength,
 	}
-	frames := buffers.Get()
-	defer buffers.Put(frames)
-	buf := frames[:]
+	buf, release := answerBuffer(resp.ContentLength)
+	defer release()
 	n, err := Fill(resp.Body, buf)
 	frame := &sqcallwire.AnswerFrame{Head: head, Body: buf[:n]}
 	if err != nil && !errors.Is(err, io.EOF) {
-		return x.fail(x.classify(ctx, err), start)
+		return x.fail(classify(ctx, &sqconn.Error{Sent: true, Err: err}), start)
 	}
 	for err == nil {
 		if sendErr := x.out.Send(frame); sendErr != nil {
@@ -183,6 +163,7 @@
 	frame.Last = true
 	frame.Load = x.load()
 	frame.CreditLeft = int32(x.call.Credit())
+	frame.FailedBelow = x.call.FailedBelow()
 	return x.out.Send(frame)
 }
 
--- a/internal/edge/sqgate/gate.go
+++ b/internal/edge/sqgate/gate.go
@@ -16,6 +16,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqconn"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqadmit"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
@@ -37,13 +38,38 @@
 	Calls   *sqcall.Table
 	Metrics *sqmetric.Set
 	Logger  logr.Logger
-	// Transport reaches the targets.
-	Transport http.RoundTripper
+	// Conns reaches the targets.
+	Conns Conns
+	// Speech is how the targets are spoken with; nil is the product's own.
+	Speech Speech
+}
+
+type sender interface {
+	Do(ctx context.Context, address string, r *sqconn.Request) (*http.Response, error)
+}
+
+func (g *Gate) speech() Speech {
+	if g.Speech == nil {
+		return Native{}
+	}
+	return g.Speech
+}
+
+// Tick closes connections that are idle for too long.
+func (g *Gate) Tick(now time.Time) { g.Conns.Tick(now) }
+
+// moved forgets a target whose address has passed to another.
+func (g *Gate) moved(head *sqcallwire.CallHead, address string) {
+	g.Logger.Info("target has gone: another answers at its address",
+		"target", head.GetTarget(), "service", head.GetService(), "request", head.GetRequestId())
+	g.Targets.Remove(sqid.TargetID(head.GetTarget()))
+	g.Conns.Forget(address)
 }
 
 // Serve runs one call and sends its answer to out. A refusal is an answer
-// too; an error says that the answer was cut.
-func (g *Gate) Serve(ctx context.Context, head *sqcallwire.CallHead, body io.Reader, out Sink) error {
+// too; an error says that the answer was cut. short says that the body is at
+// hand as a whole.
+func (g *Gate) Serve(ctx context.Context, head *sqcallwire.CallHead, body io.Reader, short bool, out Sink) error {
 	deadline := time.Now().Add(time.Duration(head.GetTimeLeftUs()) * time.Microsecond)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -66,8 +92,9 @@
 		Depth:      c.Depth,
 		Deadline:   deadline,
 		Context:    ctx,
+		RequestID:  head.GetRequestId(),
 	}, squnit.Credit(head.GetCredit()))
-	x := exchange{gate: g, head: head, call: call, ticket: ticket, out: out}
+	x := exchange{gate: g, head: head, call: call, ticket: ticket, out: out, short: short}
 	return x.run(ctx, body)
 }
 
--- a/internal/edge/sqgate/server.go
+++ b/internal/edge/sqgate/server.go
@@ -36,7 +36,7 @@
 		return status.Error(codes.InvalidArgument, "first frame has no head")
 	}
 	body := &frameReader{next: stream.Recv, part: first.GetBody(), last: first.GetLast()}
-	if err := s.Gate.Serve(stream.Context(), first.GetHead(), body, stream); err != nil {
+	if err := s.Gate.Serve(stream.Context(), first.GetHead(), body, first.GetLast(), stream); err != nil {
 		return status.Error(codes.Aborted, err.Error())
 	}
 	return nil
--- a/internal/edge/sqgate/targets.go
+++ b/internal/edge/sqgate/targets.go
@@ -1,6 +1,7 @@
 package sqgate
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -17,9 +18,14 @@
 // RenewWithin is the time within which a target must announce itself again.
 const RenewWithin = 10 * time.Second
 
-// expireAfter is the time after which a target that was not announced again
-// gets nothing more. It leaves room for two lost renewals.
-const expireAfter = 3 * RenewWithin
+const (
+	// expireAfter is the time after which a target that was not announced again
+	// gets nothing more. It leaves room for two lost renewals.
+	expireAfter = 3 * RenewWithin
+	// rememberGone is how long a target that has gone is remembered, so that an
+	// announcement that was held up does not bring it back.
+	rememberGone = time.Minute
+)
 
 // Local is one target on the daemon's own host.
 type Local struct {
@@ -29,6 +35,12 @@
 	Slots    squnit.Slots
 	LoadPath string
 	Draining bool
+	// Incarnation orders the lives of targets on the host, and Sequence the
+	// announcements within a life; both are 0 where targets tell neither.
+	Incarnation sqid.Incarnation
+	Sequence    uint64
+	// ColdUntil is when the target says that it will have warmed up.
+	ColdUntil time.Time
 	// Announced is the time of the last announcement.
 	Announced time.Time
 
@@ -40,6 +52,15 @@
 	return l.door.load()
 }
 
+// older reports whether an announcement was made before another of the same
+// target or address.
+func (l *Local) older(o *Local) bool {
+	if l.Incarnation != o.Incarnation {
+		return l.Incarnation < o.Incarnation
+	}
+	return l.ID == o.ID && l.Sequence < o.Sequence
+}
+
 // Listener hears of changes of the local targets, to tell the other daemons.
 type Listener interface {
 	// TargetChanged is called when a target was announced anew, has other
@@ -56,8 +77,12 @@
 	Listener Listener
 	// NewAdmission makes the admission of a target; nil makes sqadmit's.
 	NewAdmission func() Admission
+	// Expire is the time after which a target that was not announced again is
+	// removed, by default 3 times RenewWithin.
+	Expire time.Duration
 
 	rows sqtable.Table[sqid.TargetID, Local]
+	gone sqtable.Table[sqid.TargetID, Local]
 }
 
 func (t *Targets) admission() Admission {
@@ -67,12 +92,21 @@
 	return &sqadmit.Gate{}
 }
 
-// Announce adds or renews a target. A target that drains stays so until it is
-// removed; one that changes its service or address begins cold.
-func (t *Targets) Announce(l Local, now time.Time) {
-	changed := false
+// Announce adds or renews a target, and reports whether the announcement
+// counts: one that was held up, and is older than what is known of the target
+// or of its address, does not. A target that drains stays so for its life; one
+// that changes its life, service or address begins cold.
+func (t *Targets) Announce(l Local, now time.Time) bool {
+	if t.superseded(&l) {
+		return false
+	}
+	changed, stale := false, false
 	t.rows.Update(l.ID, func(row Local, ok bool) (Local, bool) {
-		same := ok && row.Service == l.Service && row.Address == l.Address
+		if ok && l.older(&row) {
+			stale = true
+			return row, true
+		}
+		same := ok && row.Service == l.Service && row.Address == l.Address && row.Incarnation == l.Incarnation
 		if same {
 			l.Draining, l.door = row.Draining, row.door
 		} else {
@@ -82,12 +116,37 @@
 		if changed && !l.Draining {
 			l.door.resize(now, l.Slots)
 		}
+		if cold, ok := l.door.admission.(interface{ Cold(until time.Time) }); ok {
+			cold.Cold(l.ColdUntil)
+		}
 		l.Announced = now
 		return l, true
 	})
 	if changed {
 		t.tellChanged(l)
 	}
+	return !stale
+}
+
+// superseded reports whether a later life has the target's address, or the
+// target's life is known to have ended. An earlier life at the address ends.
+func (t *Targets) superseded(l *Local) bool {
+	if l.Incarnation == 0 {
+		return false
+	}
+	if gone, ok := t.gone.Get(l.ID); ok && l.Incarnation <= gone.Incarnation {
+		return true
+	}
+	for _, row := range t.All() {
+		if row.Address != l.Address || row.ID == l.ID {
+			continue
+		}
+		if l.older(&row) {
+			return true
+		}
+		t.Remove(row.ID)
+	}
+	return false
 }
 
 // Drain stops new calls to a target from its return on; it reports whether
@@ -109,6 +168,16 @@
 
 // Remove forgets a target; it reports whether the target was known.
 func (t *Targets) Remove(id sqid.TargetID) bool {
+	row, ok := t.rows.Get(id)
+	if ok && row.Incarnation > 0 {
+		row.Announced = time.Now()
+		t.gone.Put(id, row)
+	}
+	return t.drop(id)
+}
+
+// drop removes a target, which may come back with its next announcement.
+func (t *Targets) drop(id sqid.TargetID) bool {
 	row, ok := t.rows.Delete(id)
 	if !ok {
 		return false
@@ -155,10 +224,11 @@
 func (t *Targets) Tick(now time.Time) {
 	for _, row := range t.All() {
 		row.door.tick(now)
-		if now.Sub(row.Announced) > expireAfter {
-			t.Remove(row.ID)
+		if now.Sub(row.Announced) > cmp.Or(t.Expire, expireAfter) {
+			t.drop(row.ID)
 		}
 	}
+	t.gone.Sweep(func(_ sqid.TargetID, row Local) bool { return now.Sub(row.Announced) < rememberGone })
 }
 
 func (t *Targets) tellChanged(l Local) {
--- a/internal/edge/sqledger/fleet_test.go
+++ b/internal/edge/sqledger/fleet_test.go
@@ -13,9 +13,9 @@
 	"github.com/go-logr/logr/funcr"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
-	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
 )
 
--- a/internal/edge/sqledger/ledger.go
+++ b/internal/edge/sqledger/ledger.go
@@ -14,9 +14,9 @@
 	"google.golang.org/grpc"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
-	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqledgerwire"
 )
--- a/internal/edge/sqledger/upkeep.go
+++ b/internal/edge/sqledger/upkeep.go
@@ -8,8 +8,8 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
-	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqkeeper"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 )
 
 const (
--- a/internal/edge/sqplatform/client.go
+++ b/internal/edge/sqplatform/client.go
@@ -1,11 +1,12 @@
 package sqplatform
 
 import (
-	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"context"
 	"sync"
 	"time"
 
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
+
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 	"google.golang.org/grpc"
@@ -242,7 +243,7 @@
 }
 
 func failure(kind CallKind, what, err error) error {
-	return &sqerror.Error{Step: sqerror.StepPlatform, Err: errors.Wrapf(what, "%s: %v", kind, err)}
+	return &sqerror.Error{Step: sqerror.StepPlatform, Err: errors.Wrapf(what, "%s: %s", kind, err.Error())}
 }
 
 func refusal(kind CallKind, err error) error {
--- a/internal/edge/sqplatform/client_test.go
+++ b/internal/edge/sqplatform/client_test.go
@@ -14,8 +14,8 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqplatform"
-	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/standin/sqstore"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 )
 
 const (
--- a/internal/edge/sqplatform/keys.go
+++ b/internal/edge/sqplatform/keys.go
@@ -1,9 +1,10 @@
 package sqplatform
 
 import (
-	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"context"
 
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
+
 	"google.golang.org/grpc"
 
 	wire "github.com/sequoiatack/sequoiatack/internal/wire/sqetcdwire"
--- a/internal/edge/sqplatform/lease.go
+++ b/internal/edge/sqplatform/lease.go
@@ -1,10 +1,11 @@
 package sqplatform
 
 import (
-	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"context"
 	"time"
 
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
+
 	"google.golang.org/grpc"
 
 	wire "github.com/sequoiatack/sequoiatack/internal/wire/sqetcdwire"
--- a/internal/edge/sqplatform/watch.go
+++ b/internal/edge/sqplatform/watch.go
@@ -1,10 +1,11 @@
 package sqplatform
 
 import (
-	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"context"
 	"time"
 
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
+
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
 
--- /dev/null
+++ b/internal/edge/sqpurse/purse.go
@@ -0,0 +1,356 @@
+// Package sqpurse charges requests to parts of their workspaces' rates
+// (sqparts): the daemon's own part, and tokens borrowed from other holders.
+package sqpurse
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/grpc"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqparts"
+	"github.com/sequoiatack/sequoiatack/internal/wire/sqpartwire"
+)
+
+const (
+	// TickPeriod is the period at which the timer service should tick a Purse:
+	// members and plans change seldom, and a part of the old size is used for no
+	// longer than that.
+	TickPeriod = 200 * time.Millisecond
+	// borrowTimeout bounds the wait for one holder: twice the way to another
+	// region and back.
+	borrowTimeout = 100 * time.Millisecond
+	// chargeTimeout bounds the wait of a request for a token.
+	chargeTimeout = 150 * time.Millisecond
+	// asksMost bounds the holders that are asked in one round.
+	asksMost = 3
+	// dryLeast and dryMost bound how long a holder that had nothing to give is
+	// not asked again.
+	dryLeast = 50 * time.Millisecond
+	dryMost  = 500 * time.Millisecond
+	// awayFor is how long a holder that did not answer is not asked again.
+	awayFor = time.Second
+	// idleAfter is the time after which the account of a workspace that asks for
+	// nothing and has no plan any more is dropped.
+	idleAfter = time.Minute
+)
+
+// Member is one daemon of the fleet, as far as parts go. Dead daemons are
+// members until they are forgotten: one that is cut off may go on spending.
+type Member struct {
+	ID      sqid.DaemonID
+	Address string
+	// Away orders the members by distance, nearest first.
+	Away int
+	// Alive members are asked.
+	Alive bool
+}
+
+// Plans gives the workspaces' rates in force.
+type Plans interface {
+	// Plan returns a workspace's rate and burst, and false if it has no limit.
+	Plan(w sqid.WorkspaceID) (sqlimit.Capacity, bool)
+	// Limited returns the workspaces that have a limit.
+	Limited() []sqid.WorkspaceID
+}
+
+// Conns gives the connections to peers.
+type Conns interface {
+	Conn(address string) (grpc.ClientConnInterface, error)
+}
+
+// Purse is a daemon's part in the division of rates.
+type Purse struct {
+	Self  sqid.DaemonID
+	Plans Plans
+	Conns Conns
+	// Members returns the members of the fleet, this daemon included.
+	Members func() []Member
+	// Least is the least number of members that parts are made for: a daemon
+	// that has just started may not know all of them.
+	Least  int
+	Logger logr.Logger
+
+	mu       sync.Mutex
+	members  []Member
+	accounts map[sqid.WorkspaceID]*account
+	silent   map[sqid.DaemonID]time.Time
+}
+
+// account is a workspace's account with what belongs to it.
+type account struct {
+	sqparts.Account
+	plan    sqlimit.Capacity
+	holders []Member
+	used    time.Time
+	// waiting is the number of requests that wait for the round under way.
+	waiting int
+	// round is closed when the round of asking under way has ended; nil if
+	// there is none.
+	round chan struct{}
+	dry   map[sqid.DaemonID]time.Time
+}
+
+// Register adds the service to a server.
+func (p *Purse) Register(r grpc.ServiceRegistrar) {
+	sqpartwire.RegisterPartsServer(r, &server{purse: p})
+}
+
+// Tick takes in changes of members and plans.
+func (p *Purse) Tick(now time.Time) {
+	members := p.Members()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed := !slices.Equal(members, p.members)
+	p.members = members
+	for _, w := range p.Plans.Limited() {
+		// A part fills from when it is known, not from its first request.
+		if plan, ok := p.Plans.Plan(w); ok && p.accounts[w] == nil {
+			p.account(w, plan, now)
+		}
+	}
+	for w, a := range p.accounts {
+		plan, ok := p.Plans.Plan(w)
+		if !ok && now.Sub(a.used) > idleAfter {
+			delete(p.accounts, w)
+			continue
+		}
+		if changed || plan != a.plan {
+			p.size(w, a, plan, now)
+		}
+	}
+}
+
+// account returns the account of a workspace; mu is held.
+func (p *Purse) account(w sqid.WorkspaceID, plan sqlimit.Capacity, now time.Time) *account {
+	a := p.accounts[w]
+	if a == nil {
+		a = &account{dry: make(map[sqid.DaemonID]time.Time)}
+		if p.accounts == nil {
+			p.accounts = make(map[sqid.WorkspaceID]*account)
+			p.members = firstMembers(p.members, p.Members)
+		}
+		p.accounts[w] = a
+		p.size(w, a, plan, now)
+	} else if plan != a.plan {
+		p.size(w, a, plan, now)
+	}
+	a.used = now
+	return a
+}
+
+// firstMembers returns the members if they are known, and asks for them else.
+func firstMembers(known []Member, ask func() []Member) []Member {
+	if known != nil {
+		return known
+	}
+	return ask()
+}
+
+// size sets the daemon's part and the other holders of a workspace.
+func (p *Purse) size(w sqid.WorkspaceID, a *account, plan sqlimit.Capacity, now time.Time) {
+	a.plan = plan
+	ids := make([]sqid.DaemonID, len(p.members))
+	for i := range p.members {
+		ids[i] = p.members[i].ID
+	}
+	holders := sqparts.Holders(w, plan, ids)
+	a.holders = a.holders[:0]
+	parts := 0
+	for _, m := range p.members {
+		switch {
+		case !slices.Contains(holders, m.ID):
+		case m.ID == p.Self:
+			parts = max(len(holders), min(p.Least, sqparts.Count(plan, p.Least)))
+		case m.Alive:
+			a.holders = append(a.holders, m)
+		}
+	}
+	rand.Shuffle(len(a.holders), func(i, j int) { a.holders[i], a.holders[j] = a.holders[j], a.holders[i] })
+	slices.SortStableFunc(a.holders, func(x, y Member) int { return cmp.Compare(x.Away, y.Away) })
+	a.Resize(now, plan, parts)
+}
+
+// Charge spends one request of a workspace's rate. A workspace without a limit
+// is always admitted.
+func (p *Purse) Charge(ctx context.Context, w sqid.WorkspaceID) (bool, time.Duration, error) {
+	plan, limited := p.Plans.Plan(w)
+	if !limited {
+		return true, 0, nil
+	}
+	now := time.Now()
+	p.mu.Lock()
+	a := p.account(w, plan, now)
+	a.Want(now)
+	if a.Spend(now) {
+		p.mu.Unlock()
+		return true, 0, nil
+	}
+	round := p.ask(w, a, now)
+	if round == nil {
+		after := p.until(a, now)
+		p.mu.Unlock()
+		return false, after, nil
+	}
+	a.waiting++
+	p.mu.Unlock()
+	return p.await(ctx, a, round)
+}
+
+// await waits for the end of a round, and spends a token of what it brought.
+func (p *Purse) await(ctx context.Context, a *account, round chan struct{}) (bool, time.Duration, error) {
+	timer := time.NewTimer(chargeTimeout)
+	defer timer.Stop()
+	select {
+	case <-round:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a.waiting--
+	if ctx.Err() != nil {
+		return false, 0, ctx.Err()
+	}
+	if a.Spend(now) {
+		return true, 0, nil
+	}
+	return false, p.until(a, now), nil
+}
+
+// until returns when a token is expected: the sooner of the own part's next
+// one and of a holder that may have one.
+func (p *Purse) until(a *account, now time.Time) time.Duration {
+	wait := dryMost
+	if own, ok := a.Until(now); ok {
+		wait = min(wait, own)
+	}
+	return max(dryLeast, wait)
+}
+
+// Return gives back what was spent on a request that has not run.
+func (p *Purse) Return(w sqid.WorkspaceID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a := p.accounts[w]; a != nil {
+		a.Return(time.Now())
+	}
+}
+
+// ask begins a round of asking, or joins the one under way; nil if no holder
+// is worth asking now. mu is held.
+func (p *Purse) ask(w sqid.WorkspaceID, a *account, now time.Time) chan struct{} {
+	if a.round != nil {
+		return a.round
+	}
+	from := p.lenders(a, now)
+	if len(from) == 0 {
+		return nil
+	}
+	round := make(chan struct{})
+	a.round = round
+	go p.run(w, a, from, round)
+	return round
+}
+
+// lenders returns the holders worth asking, nearest first.
+func (p *Purse) lenders(a *account, now time.Time) []Member {
+	var from []Member
+	for _, m := range a.holders {
+		if len(from) == asksMost {
+			break
+		}
+		if now.Before(a.dry[m.ID]) || now.Before(p.silent[m.ID]) {
+			continue
+		}
+		from = append(from, m)
+	}
+	return from
+}
+
+// run asks holders in turn until the waiting requests have their tokens.
+func (p *Purse) run(w sqid.WorkspaceID, a *account, from []Member, round chan struct{}) {
+	for _, m := range from {
+		p.mu.Lock()
+		want := a.Ask(time.Now(), a.waiting)
+		p.mu.Unlock()
+		if want <= 0 {
+			break
+		}
+		answer, err := p.borrow(m, w, want)
+		p.mu.Lock()
+		p.took(a, m, want, answer, err)
+		p.mu.Unlock()
+	}
+	p.mu.Lock()
+	a.round = nil
+	p.mu.Unlock()
+	close(round)
+}
+
+func (p *Purse) borrow(m Member, w sqid.WorkspaceID, want squnit.Tokens) (*sqpartwire.BorrowAnswer, error) {
+	conn, err := p.Conns.Conn(m.Address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
+	defer cancel()
+	return sqpartwire.NewPartsClient(conn).Borrow(ctx, &sqpartwire.BorrowRequest{Workspace: string(w), Tokens: float64(want)})
+}
+
+// took takes in a holder's answer.
+func (p *Purse) took(a *account, m Member, want squnit.Tokens, answer *sqpartwire.BorrowAnswer, err error) {
+	now := time.Now()
+	if err != nil {
+		p.Logger.V(1).Info("holder of a part does not answer", "peer", m.ID, "error", err.Error())
+		if p.silent == nil {
+			p.silent = make(map[sqid.DaemonID]time.Time)
+		}
+		p.silent[m.ID] = now.Add(awayFor)
+		return
+	}
+	given := min(want, squnit.Tokens(answer.GetTokens()))
+	a.Borrow(now, given)
+	if given < want {
+		next := time.Duration(answer.GetNextUs()) * time.Microsecond
+		a.dry[m.ID] = now.Add(min(dryMost, max(dryLeast, next)))
+	}
+}
+
+// lend gives tokens of the daemon's own part to another.
+func (p *Purse) lend(w sqid.WorkspaceID, want squnit.Tokens) (squnit.Tokens, time.Duration) {
+	plan, limited := p.Plans.Plan(w)
+	if !limited {
+		return 0, dryMost
+	}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.account(w, plan, now)
+	given := a.Lend(now, want)
+	next, ok := a.Until(now)
+	if !ok {
+		next = dryMost
+	}
+	return given, next
+}
+
+type server struct {
+	sqpartwire.UnimplementedPartsServer
+	purse *Purse
+}
+
+// Borrow gives tokens of the daemon's part.
+func (s *server) Borrow(_ context.Context, r *sqpartwire.BorrowRequest) (*sqpartwire.BorrowAnswer, error) {
+	given, next := s.purse.lend(sqid.WorkspaceID(r.GetWorkspace()), squnit.Tokens(r.GetTokens()))
+	return &sqpartwire.BorrowAnswer{Tokens: float64(given), NextUs: next.Microseconds()}, nil
+}
--- a/internal/standin/sqstore/store_test.go
+++ b/internal/standin/sqstore/store_test.go
@@ -10,8 +10,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/standin/sqstore"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 )
 
 // TestLeaseExpiry checks that a lease ends exactly its ttl after its last
--- a/internal/state/sqcall/call.go
+++ b/internal/state/sqcall/call.go
@@ -30,6 +30,8 @@
 	Deadline   time.Time
 	// Context ends with the call; nested calls end with it.
 	Context context.Context
+	// RequestID is the id that the caller gave the request, empty if none.
+	RequestID string
 }
 
 // Call is a live call: its row, and the ledger of its nested calls.
@@ -42,20 +44,31 @@
 	nested      int
 	nestedSince time.Time
 	nestedTime  time.Duration
+	failedBelow bool
 }
 
 // Table holds the live calls of a daemon. The zero value is ready.
 type Table struct {
 	rows sqtable.Table[sqid.CallID, *Call]
+	// requests finds the latest call of a request.
+	requests sqtable.Table[string, *Call]
 }
 
 // Open adds a call with a credit of extra attempts for it and all below it.
 func (t *Table) Open(row Row, credit squnit.Credit) *Call {
 	c := &Call{Row: row, credit: sqretry.NewCredit(credit)}
 	t.rows.Put(row.ID, c)
+	if row.RequestID != "" {
+		t.requests.Put(row.RequestID, c)
+	}
 	return c
 }
 
+// Request returns the live call of a request with an id.
+func (t *Table) Request(id string) (*Call, bool) {
+	return t.requests.Get(id)
+}
+
 // Get returns the live call with id.
 func (t *Table) Get(id sqid.CallID) (*Call, bool) {
 	return t.rows.Get(id)
@@ -63,7 +76,13 @@
 
 // Close removes a call.
 func (t *Table) Close(id sqid.CallID) {
-	t.rows.Delete(id)
+	c, ok := t.rows.Delete(id)
+	if !ok || c.RequestID == "" {
+		return
+	}
+	t.requests.Update(c.RequestID, func(latest *Call, ok bool) (*Call, bool) {
+		return latest, ok && latest != c
+	})
 }
 
 // Len returns the number of live calls.
@@ -100,6 +119,20 @@
 	c.below.Add(own, deeper)
 }
 
+// Failed notes that a nested call has failed for good.
+func (c *Call) Failed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failedBelow = true
+}
+
+// FailedBelow reports whether a nested call has failed for good.
+func (c *Call) FailedBelow() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failedBelow
+}
+
 // Credit returns the extra attempts that are left.
 func (c *Call) Credit() squnit.Credit {
 	c.mu.Lock()
--- a/internal/state/sqlists/accept_test.go
+++ b/internal/state/sqlists/accept_test.go
@@ -15,8 +15,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
-	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/standin/sqstore"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
 )
 
