--- a/internal/edge/sqentry/entry.go
+++ b/internal/edge/sqentry/entry.go
@@ -90,7 +90,7 @@
 	Logger     logr.Logger
 	// Suspect is told of a daemon that could not be reached.
 	Suspect func(id sqid.DaemonID)
-	active atomic.Int64
+	active  atomic.Int64
 	// Stopping reports whether a planned stop has begun; connections are
 	// closed after their answers then.
 	Stopping func() bool
--- a/internal/state/sqcatalog/holder.go
+++ b/internal/state/sqcatalog/holder.go
@@ -27,8 +27,6 @@
 	// Publish spreads a record that is newer than the one in force; nil spreads
 	// nothing.
 	Publish func(v Version, record []byte)
-	// Changed is called with each catalog that comes into force; it may be nil.
-	Changed func(c *Catalog)
 
 	mu      sync.Mutex
 	current atomic.Pointer[Catalog]
@@ -40,26 +38,34 @@
 // Apply takes in a record that came from source; it reports whether its
 // catalog is now in force. A record that can't be read changes nothing.
 func (h *Holder) Apply(record []byte, source string) bool {
+	c := h.replace(record, source)
+	if c == nil {
+		return false
+	}
+	// Publishing may come back here with the same record.
+	if h.Publish != nil {
+		h.Publish(c.Version, record)
+	}
+	return true
+}
+
+// replace puts a record's catalog into force; it returns nil if it is not to
+// be.
+func (h *Holder) replace(record []byte, source string) *Catalog {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	before := h.Catalog()
 	c, err := h.Parse(record, before)
 	if err != nil {
 		h.Logger.Error(err, "catalog can't be read", "source", source, "bytes", len(record))
-		return false
+		return nil
 	}
 	if before != nil && c.Version <= before.Version {
-		return false
+		return nil
 	}
 	h.current.Store(c)
 	h.Logger.Info("catalog in force", "version", c.Version, "source", source, "bytes", len(record))
-	if h.Publish != nil {
-		h.Publish(c.Version, record)
-	}
-	if h.Changed != nil {
-		h.Changed(c)
-	}
-	return true
+	return c
 }
 
 const (
