--- a/cmd/sequoiatack/daemon.go
+++ b/cmd/sequoiatack/daemon.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/go-logr/logr"
 	"github.com/spf13/cobra"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqlog"
@@ -52,6 +53,7 @@
 	}
 	debug.SetGCPercent(cfg.Memory.GrowthPercent)
 	debug.SetMemoryLimit(int64(cfg.Memory.Limit))
+	go reload(ctx, file, cfg, log)
 	d := &sqdaemon.Daemon{Settings: cfg, Logger: log}
 	if cfg.Interface == sqsettings.InterfacePlatform {
 		d.Adapter = &platform.Adapter{Settings: cfg, Logger: log}
@@ -73,3 +75,25 @@
 	case <-ctx.Done():
 	}
 }
+
+// reload reads the settings again at each SIGHUP. Running parts keep theirs: the
+// log says what differs and needs a restart. A file that can't be read changes
+// nothing.
+func reload(ctx context.Context, file string, held sqsettings.Settings, log logr.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		cfg, err := sqsettings.Load(file)
+		if err != nil {
+			log.Error(err, "settings are not reloaded")
+			continue
+		}
+		log.Info("settings reloaded", "needRestart", sqsettings.Differences(held, cfg))
+	}
+}
--- a/internal/base/sqsettings/settings.go
+++ b/internal/base/sqsettings/settings.go
@@ -278,3 +278,15 @@
 	}
 	return strings.Join(parts, ".")
 }
+
+// Differences returns the names of the fields that differ, tables as a whole.
+func Differences(a, b Settings) []string {
+	var fields []string
+	x, y := reflect.ValueOf(a), reflect.ValueOf(b)
+	for i := range x.NumField() {
+		if !reflect.DeepEqual(x.Field(i).Interface(), y.Field(i).Interface()) {
+			fields = append(fields, x.Type().Field(i).Tag.Get("toml"))
+		}
+	}
+	return fields
+}
--- a/internal/edge/sqdaemon/adapted.go
+++ b/internal/edge/sqdaemon/adapted.go
@@ -66,6 +66,7 @@
 	}
 	d.catalog = &sqcatalog.Follower{
 		Store: d.platform, Key: d.Adapter.CatalogKey(), Holder: d.catalogs, Logger: d.Logger, Watching: d.watches,
+		Polling: d.member.First,
 	}
 	d.member.OnFact(sqcatalog.FactName, func(_ uint64, record []byte) { d.catalogs.Apply(record, "peer") })
 }
--- a/internal/state/sqcatalog/holder.go
+++ b/internal/state/sqcatalog/holder.go
@@ -74,6 +74,10 @@
 	followRetry = 250 * time.Millisecond
 	// followRetryMost bounds the pause, which doubles while the store is out.
 	followRetryMost = time.Second
+	// pollPeriod is the mean time between two reads of a daemon that polls: half
+	// of the bound within which a change has to be in force, the rest of which
+	// the gossip takes.
+	pollPeriod = time.Second
 	// readTimeout bounds one read of the record.
 	readTimeout = 2 * time.Second
 )
@@ -87,12 +91,20 @@
 	// Watching reports whether this daemon follows the record itself; the
 	// others hear of it by gossip.
 	Watching func() bool
+	// Polling reports whether this daemon also reads the record at a short
+	// period. A watch may hear nothing for seconds while the store drops its
+	// history; one daemon of each data centre reads for the others, which hear of
+	// a change by gossip. Nil is never.
+	Polling func() bool
 
 	out bool
 }
 
 // Run follows the record until ctx ends. Its error is nil.
 func (f *Follower) Run(ctx context.Context) error {
+	var polls sync.WaitGroup
+	defer polls.Wait()
+	polls.Go(func() { f.poll(ctx) })
 	wait := followRetry
 	for ctx.Err() == nil {
 		if f.Holder.Catalog() != nil && !f.Watching() {
@@ -101,6 +113,7 @@
 		}
 		began := time.Now()
 		err := f.follow(ctx)
+		f.Logger.Info("catalog watch ended", "lasted", time.Since(began).String(), "error", err.Error())
 		f.tell(ctx, err)
 		if time.Since(began) > followRetryMost {
 			wait = followRetry
@@ -111,6 +124,23 @@
 	return nil
 }
 
+// poll reads the record at a short period while that is this daemon's duty.
+func (f *Follower) poll(ctx context.Context) {
+	for sqtimer.Sleep(ctx, pollPeriod/2+rand.N(pollPeriod)) == nil {
+		if f.Polling == nil || !f.Polling() {
+			continue
+		}
+		reading, cancel := context.WithTimeout(ctx, readTimeout)
+		r, err := f.Store.Get(reading, f.Key)
+		cancel()
+		if err != nil {
+			f.Logger.V(1).Info("catalog can't be read", "error", err.Error())
+			continue
+		}
+		f.apply(r)
+	}
+}
+
 // follow reads the record, then watches it.
 func (f *Follower) follow(ctx context.Context) error {
 	reading, cancel := context.WithTimeout(ctx, readTimeout)
--- a/internal/state/sqmember/member.go
+++ b/internal/state/sqmember/member.go
@@ -297,6 +297,15 @@
 	return m.Relay()
 }
 
+// First says whether this daemon is the one of its data centre that does what
+// one daemon of each does.
+func (m *Member) First() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.start()
+	return m.relayRank() == 0
+}
+
 // Relay says whether this daemon is one of the two that speak with the other
 // data centres.
 func (m *Member) Relay() bool {
