--- a/internal/edge/sqentry/decide.go
+++ b/internal/edge/sqentry/decide.go
@@ -19,7 +19,7 @@
 	if !ok {
 		return refuse(sqreason.ServiceUnknown, nil)
 	}
-	a.Service, a.Route = r.Choose(), r.Name
+	a.Service, a.Named, a.Route = r.Choose(), true, r.Name
 	a.NonIdempotent, a.Importance = r.NonIdempotent, r.Importance
 	a.Credit = squnit.Credit(r.Attempts - 1)
 	a.BodyMost = c.Limits.BodyBytes
--- a/internal/edge/sqentry/entry.go
+++ b/internal/edge/sqentry/entry.go
@@ -34,6 +34,9 @@
 	// ID is the id that the caller gave the request, empty if none.
 	ID      string
 	Service sqid.ServiceID
+	// Named is set if the operators name the service, whether it has targets now
+	// or not.
+	Named bool
 	// Path is the request target as the service is to see it.
 	Path string
 	// Host is the host that the caller named, empty if targets aren't told.
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -112,7 +112,7 @@
 		return refuse(sqreason.BodyTooLarge, nil)
 	}
 	if !q.entry.Router.Known(q.Service) {
-		return refuse(sqreason.ServiceUnknown, nil)
+		return refuse(q.unknown(), nil)
 	}
 	if refusal := q.shed(); refusal != nil {
 		return refusal
@@ -135,6 +135,15 @@
 	return nil
 }
 
+// unknown is the reason to refuse a request to a service of which no target is
+// known: one that is named by the operators has none now, and may have later.
+func (q *request) unknown() sqreason.Refusal {
+	if q.Named {
+		return sqreason.TargetNone
+	}
+	return sqreason.ServiceUnknown
+}
+
 func bodyRefusal(err error) *sqerror.Error {
 	if _, ok := errors.Into[*http.MaxBytesError](err); ok {
 		return refuse(sqreason.BodyTooLarge, nil)
