Trust announced slots under an adapter, and keep repeats within the fleet's bound

Slots are exact here, so 94.9% of them are used and nothing is learned. Repeats had a budget of 1 a second for each daemon and service, 160 in 10 s for 16 daemons where 48 are allowed; now each daemon has its part of the sliding window.

--- a/internal/edge/sqdaemon/adapted.go
+++ b/internal/edge/sqdaemon/adapted.go
@@ -19,6 +19,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqpurse"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqretry"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqcatalog"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
@@ -34,6 +35,9 @@
 	noticeTime = 2200 * time.Millisecond
 	// cutMargin is the part of the stop's time that is kept for closing.
 	cutMargin = 500 * time.Millisecond
+	// boundPart is the part of the bound on repeats that is used: a window of the
+	// daemons slides in steps, and their counts of members differ for moments.
+	boundPart = 0.85
 	// expireBeats is the number of announcements that a target may miss.
 	expireBeats = 8
 )
@@ -146,6 +150,11 @@
 	d.targets.Expire = expireBeats * time.Duration(d.Settings.Platform.AnnounceEvery)
 	d.entry.Service = d.Settings.Platform.Service
 	d.entry.Charger = d.purse
+	r := d.Settings.Platform.Retry
+	d.entry.Router.Bound = sqretry.Bound{
+		Ratio: boundPart * r.Ratio, Window: time.Duration(r.Window), Slack: boundPart * float64(r.Slack),
+	}
+	d.entry.Router.Daemons = func() int { return len(d.purseMembers()) }
 }
 
 func (d *Daemon) adaptedHandlers() (callers, local, admin http.Handler) {
--- a/internal/edge/sqdaemon/build.go
+++ b/internal/edge/sqdaemon/build.go
@@ -129,7 +129,7 @@
 
 func (d *Daemon) buildPath() {
 	s := &d.Settings
-	d.targets = &sqgate.Targets{Listener: spread{d}, NewAdmission: newAdmission(s.Policy)}
+	d.targets = &sqgate.Targets{Listener: spread{d}, NewAdmission: newAdmission(s.Policy, d.Adapter != nil)}
 	d.gate = &sqgate.Gate{
 		Daemon: s.DaemonName, Targets: d.targets, Calls: d.calls, Metrics: d.metrics, Logger: d.Logger,
 		Conns: sqgate.NewConns(),
@@ -171,10 +171,11 @@
 	return s.Handler()
 }
 
-// newAdmission returns how a target's admission is made.
-func newAdmission(p sqsettings.Policy) func() sqgate.Admission {
+// newAdmission returns how a target's admission is made. exact says that
+// targets run just as many calls at once as they announce.
+func newAdmission(p sqsettings.Policy, exact bool) func() sqgate.Admission {
 	if p == sqsettings.PolicyFull {
-		return func() sqgate.Admission { return new(sqadmit.Gate) }
+		return func() sqgate.Admission { return &sqadmit.Gate{Exact: exact} }
 	}
 	return func() sqgate.Admission { return &sqnaive.Admission{Unlimited: p == sqsettings.PolicyNone} }
 }
--- a/internal/edge/sqentry/attempt.go
+++ b/internal/edge/sqentry/attempt.go
@@ -88,7 +88,7 @@
 		TimeLeftUs: time.Until(q.Deadline).Microseconds(),
 		Credit:     int32(q.credit - q.held()), Depth: uint32(q.depth), NonIdempotent: q.NonIdempotent,
 		Share: float64(q.share),
-		Root:  q.root, ContentLength: q.contentLength, Entry: string(q.entry.Daemon), Operation: q.Operation,
+		Root:  q.root, Repeat: q.repeat || q.Parent != nil && q.Parent.Repeat, ContentLength: q.contentLength, Entry: string(q.entry.Daemon), Operation: q.Operation,
 	}
 }
 
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -62,6 +62,8 @@
 	last *answer
 	// mayHaveRun is set once the outcome of an attempt is not certain.
 	mayHaveRun bool
+	// repeat is set once an attempt beyond the first is made.
+	repeat bool
 }
 
 func (e *Entry) newRequest(f Front, a *Ask, r *http.Request, now time.Time) *request {
@@ -162,6 +164,7 @@
 }
 
 func (q *request) try(w http.ResponseWriter) *sqerror.Error {
+	q.entry.Router.asked(q.began, q)
 	var last *sqerror.Error
 	for {
 		target, reason := q.entry.Router.pick(q)
@@ -207,7 +210,6 @@
 	}
 	q.tries++
 	now := time.Now()
-	budget := q.entry.Router.budget(q.Service)
 	if e.Reason.Overload() {
 		q.sheds++
 	}
@@ -220,17 +222,18 @@
 		Left:          q.Deadline.Sub(now),
 		Usual:         q.entry.Router.Route.Usual(q.Service),
 		Credit:        q.credit,
-		Budget:        budget.Left(now),
+		Budget:        q.entry.Router.mayRetry(now, q.Service),
 		ServiceSheds:  q.entry.Router.Route.Sheds(now, q.Service),
 		OtherTarget:   len(q.entry.Router.Targets.Service(q.Service)) > len(q.tried),
 		BodySpent:     !q.body.again(),
 		FailedBelow:   q.last.failedBelow,
 	})
 	q.entry.Metrics.Retries.WithLabelValues(string(verdict.Reason)).Inc()
-	if !verdict.Retry || !budget.Take(now) {
+	if !verdict.Retry || !q.entry.Router.takeRetry(now, q.Service) {
 		return false
 	}
 	q.credit--
+	q.repeat = true
 	if !verdict.ElsewhereOnly {
 		q.tried = nil
 	}
--- a/internal/edge/sqentry/router.go
+++ b/internal/edge/sqentry/router.go
@@ -27,7 +27,13 @@
 	// Shed knows which classes of requests the services have no room for.
 	Shed *sqshed.Table
 
+	// Bound, if its window is set, bounds the attempts beyond the first at each
+	// service over the fleet, of which this daemon is one of Daemons.
+	Bound   sqretry.Bound
+	Daemons func() int
+
 	budgets sqtable.Table[sqid.ServiceID, *sqretry.Budget]
+	windows sqtable.Table[sqid.ServiceID, *sqretry.Window]
 }
 
 // Known reports whether any target of the service is known.
@@ -52,18 +58,52 @@
 
 // budget returns the retry budget of the edge to a service.
 func (t *Router) budget(s sqid.ServiceID) *sqretry.Budget {
-	if b, ok := t.budgets.Get(s); ok {
-		return b
+	return rowOf(&t.budgets, s)
+}
+
+// rowOf returns the row of a service, and makes it at its first use.
+func rowOf[R any](t *sqtable.Table[sqid.ServiceID, *R], s sqid.ServiceID) *R {
+	if r, ok := t.Get(s); ok {
+		return r
 	}
-	var budget *sqretry.Budget
-	t.budgets.Update(s, func(b *sqretry.Budget, ok bool) (*sqretry.Budget, bool) {
+	var row *R
+	t.Update(s, func(r *R, ok bool) (*R, bool) {
 		if !ok {
-			b = new(sqretry.Budget)
+			r = new(R)
 		}
-		budget = b
-		return b, true
+		row = r
+		return r, true
 	})
-	return budget
+	return row
+}
+
+// asked counts a request for a service. A call that a repeated run makes is a
+// repeat itself.
+func (t *Router) asked(now time.Time, q *request) {
+	if t.Bound.Window == 0 {
+		return
+	}
+	w := rowOf(&t.windows, q.Service)
+	w.Asked(now, t.Bound)
+	if q.Parent != nil && q.Parent.Repeat {
+		w.Made(now, t.Bound)
+	}
+}
+
+// mayRetry reports whether the budgets have room for one more attempt.
+func (t *Router) mayRetry(now time.Time, s sqid.ServiceID) bool {
+	if t.Bound.Window > 0 {
+		return rowOf(&t.windows, s).Left(now, t.Bound, t.Daemons())
+	}
+	return t.budget(s).Left(now)
+}
+
+// takeRetry uses up the budget of one more attempt.
+func (t *Router) takeRetry(now time.Time, s sqid.ServiceID) bool {
+	if t.Bound.Window > 0 {
+		return rowOf(&t.windows, s).Take(now, t.Bound, t.Daemons())
+	}
+	return t.budget(s).Take(now)
 }
 
 // ended learns from the end of an attempt.
--- a/internal/edge/sqgate/exchange.go
+++ b/internal/edge/sqgate/exchange.go
@@ -57,6 +57,12 @@
 	}
 	defer resp.Body.Close()
 	v := x.gate.speech().Judge(resp)
+	if v != (Verdict{}) && !v.Broken {
+		// A refusal's body is read, so that its connection can be used again.
+		if _, err := io.CopyN(io.Discard, resp.Body, refusalBytes); err != nil && !errors.Is(err, io.EOF) {
+			x.gate.Logger.V(1).Info("target's refusal was cut", "target", x.call.Target, "error", err.Error())
+		}
+	}
 	switch {
 	case v.Moved:
 		x.gate.moved(x.head, x.ticket.address)
@@ -70,6 +76,9 @@
 	return x.answer(ctx, resp, start)
 }
 
+// refusalBytes bounds what is read of a target's refusal.
+const refusalBytes = 4 << 10
+
 var errMoved = errors.New("another target has the address")
 
 // request is the call as it goes to the target.
--- a/internal/edge/sqgate/gate.go
+++ b/internal/edge/sqgate/gate.go
@@ -93,6 +93,7 @@
 		Deadline:   deadline,
 		Context:    ctx,
 		RequestID:  head.GetRequestId(),
+		Repeat:     head.GetRepeat(),
 	}, squnit.Credit(head.GetCredit()))
 	x := exchange{gate: g, head: head, call: call, ticket: ticket, out: out, short: short}
 	return x.run(ctx, body)
--- a/internal/policy/sqadmit/gate.go
+++ b/internal/policy/sqadmit/gate.go
@@ -42,6 +42,9 @@
 // slot; Announce comes first. Its methods are safe for concurrent use and do
 // not block.
 type Gate struct {
+	// Exact says that announced slots are what the target runs at once.
+	Exact bool
+
 	mu      sync.Mutex
 	limit   Limit
 	usage   usage
@@ -79,6 +82,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.draining = false
+	g.limit.Exact = g.Exact
 	g.limit.Announce(now, slots)
 	return g.advance(now)
 }
--- a/internal/policy/sqadmit/limit.go
+++ b/internal/policy/sqadmit/limit.go
@@ -20,6 +20,9 @@
 	minGrowth = 0.34
 	// excessGrowth is the growth beyond the announced slots for each window.
 	excessGrowth = 0.5
+	// exactPart is the part of exact slots that is used; 95% full is where
+	// targets that slow down when nearly full were found to begin.
+	exactPart = 0.949
 	// excessFactor bounds the limit by the announced slots.
 	excessFactor = 4
 	// anchorStep is the growth after which a limit is compared with that before.
@@ -73,6 +76,11 @@
 // The zero value is not ready; Announce comes first. It is not safe for
 // concurrent use.
 type Limit struct {
+	// Exact says that the announced slots are what the target runs at once, so
+	// that nothing has to be learned. A little less is used: many targets become
+	// slower when the last slots fill.
+	Exact bool
+
 	limit     float64
 	announced float64
 	// ceiling is the limit that was last found to be too high.
@@ -133,12 +141,18 @@
 
 // Slots returns the limit, at least 1.
 func (l *Limit) Slots() int {
+	if l.Exact {
+		return max(1, int(exactPart*l.announced))
+	}
 	return max(1, int(l.limit))
 }
 
 // Ended takes the end of a call, with the numbers in flight when it started
 // and before it ended.
 func (l *Limit) Ended(now time.Time, started, inFlight int, r Result) {
+	if l.Exact {
+		return
+	}
 	switch r.Outcome {
 	case Shed:
 		l.cut(now, inFlight)
--- /dev/null
+++ b/internal/policy/sqretry/window.go
@@ -0,0 +1,88 @@
+package sqretry
+
+import (
+	"sync"
+	"time"
+)
+
+// buckets is the number of parts in which a window slides.
+const buckets = 20
+
+// Bound is a bound on the attempts beyond the first at one service, over the
+// whole fleet and in any span of the length Window.
+type Bound struct {
+	// Ratio is their part of the requests for the service, Slack a number
+	// beside it.
+	Ratio  float64
+	Window time.Duration
+	Slack  float64
+}
+
+// Window is one daemon's part of a Bound. The zero value allows nothing; the
+// bound may change at any time. Its methods are safe for concurrent use and do
+// not block.
+type Window struct {
+	mu       sync.Mutex
+	requests [buckets]int
+	extras   [buckets]int
+	// at is the number of the newest bucket since the zero time.
+	at int64
+}
+
+// Asked counts a request for the service, whatever becomes of it.
+func (w *Window) Asked(now time.Time, b Bound) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.requests[w.slide(now, b)]++
+}
+
+// Left reports whether one more attempt is within the daemon's part, of which
+// there are as many as daemons.
+func (w *Window) Left(now time.Time, b Bound, daemons int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.left(now, b, daemons)
+}
+
+func (w *Window) left(now time.Time, b Bound, daemons int) bool {
+	w.slide(now, b)
+	requests, extras := 0, 0
+	for i := range buckets {
+		requests += w.requests[i]
+		extras += w.extras[i]
+	}
+	return float64(extras)+1 <= b.Ratio*float64(requests)+b.Slack/float64(max(1, daemons))
+}
+
+// Take counts one more attempt, and reports whether it is within the daemon's
+// part; if not, it is not counted.
+func (w *Window) Take(now time.Time, b Bound, daemons int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.left(now, b, daemons) {
+		return false
+	}
+	w.extras[w.slide(now, b)]++
+	return true
+}
+
+// Made counts an attempt that was not decided on here: a call that a repeated
+// run makes again.
+func (w *Window) Made(now time.Time, b Bound) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.extras[w.slide(now, b)]++
+}
+
+// slide empties the buckets that have left the window and returns the index of
+// the newest.
+func (w *Window) slide(now time.Time, b Bound) int {
+	width := max(int64(b.Window)/buckets, 1)
+	at := now.UnixNano() / width
+	for n := min(at-w.at, buckets); n > 0; n-- {
+		i := (at - n + 1) % buckets
+		w.requests[i], w.extras[i] = 0, 0
+	}
+	w.at = max(w.at, at)
+	return int(w.at % buckets)
+}
--- a/internal/state/sqcall/call.go
+++ b/internal/state/sqcall/call.go
@@ -32,6 +32,8 @@
 	Context context.Context
 	// RequestID is the id that the caller gave the request, empty if none.
 	RequestID string
+	// Repeat is set if the call, or one above it, is an attempt beyond the first.
+	Repeat bool
 }
 
 // Call is a live call: its row, and the ledger of its nested calls.
