--- a/internal/edge/sqconn/exchange.go
+++ b/internal/edge/sqconn/exchange.go
@@ -133,6 +133,12 @@
 	default:
 		bw.WriteString("\r\n")
 	}
+	if !r.Short && r.Length != 0 {
+		// A target may answer before the body has come.
+		if err := bw.Flush(); err != nil {
+			return err
+		}
+	}
 	if err := x.writeBody(); err != nil {
 		return err
 	}
