Order requests within a workspace's importance by their route, and let returning callers in first

Levels now have steps between the named ones; the entry's cut moves on a scale of the levels that requests have. Refused callers come back on a new connection: the first request of a connection goes before others of its level where a third of it is served, and Retry-After is spread up to the time at which an answer still comes within the latency aimed at.

--- a/internal/base/sqreason/reason.go
+++ b/internal/base/sqreason/reason.go
@@ -107,6 +107,12 @@
 	return false
 }
 
+// Passing reports whether the reason may be over in a moment, so that the
+// caller can be told to come back.
+func (r Refusal) Passing() bool {
+	return r.Overload() || r.Gone() || r == ShedDeeper || r == DeadlineExceeded || r == LinkBudget
+}
+
 // Gone reports whether the reason says that a target is leaving, or can't be
 // reached; it tells nothing of its load.
 func (r Refusal) Gone() bool {
--- a/internal/base/squnit/unit.go
+++ b/internal/base/squnit/unit.go
@@ -27,43 +27,52 @@
 // Credit is a number of extra attempts.
 type Credit int
 
-// Importance orders calls when load must be shed: the lowest goes first.
+// Importance orders calls when load must be shed: the lowest goes first. The
+// named levels are ImportanceSteps apart, so that requests of one level can be
+// put in order among themselves.
 type Importance uint8
 
-// The levels of importance, lowest first.
+// The named levels of importance, lowest first.
 const (
-	ImportanceLow Importance = iota
-	ImportanceNormal
-	ImportanceHigh
-	ImportanceCritical
-
-	// ImportanceLevels is the number of levels.
-	ImportanceLevels = 4
+	ImportanceLow      Importance = 0
+	ImportanceNormal   Importance = 4
+	ImportanceHigh     Importance = 8
+	ImportanceCritical Importance = 12
+
+	// ImportanceSteps is the number of steps from one named level to the next.
+	ImportanceSteps = 4
+	// ImportanceLevels is the number of all levels.
+	ImportanceLevels = 16
 )
 
-var importanceNames = [ImportanceLevels]string{"low", "normal", "high", "critical"}
+var importanceNames = [ImportanceLevels / ImportanceSteps]string{"low", "normal", "high", "critical"}
+
+// Named returns the place of the named level at or below i, 0 for the lowest.
+func (i Importance) Named() int {
+	return min(int(i), ImportanceLevels-1) / ImportanceSteps
+}
 
-// String returns the level's name in the lists.
+// String returns the name of the named level at or below i.
 func (i Importance) String() string {
-	if int(i) >= len(importanceNames) {
+	if int(i) >= ImportanceLevels {
 		return "invalid"
 	}
-	return importanceNames[i]
+	return importanceNames[i.Named()]
 }
 
 // MarshalText returns the level's name in the lists.
 func (i Importance) MarshalText() ([]byte, error) {
-	if int(i) >= len(importanceNames) {
+	if int(i) >= ImportanceLevels {
 		return nil, errors.Errorf("importance %d is out of range", i)
 	}
-	return []byte(importanceNames[i]), nil
+	return []byte(i.String()), nil
 }
 
 // UnmarshalText sets i from the level's name in the lists.
 func (i *Importance) UnmarshalText(text []byte) error {
 	for level, name := range importanceNames {
 		if name == string(text) {
-			*i = Importance(level)
+			*i = Importance(level * ImportanceSteps)
 			return nil
 		}
 	}
--- a/internal/edge/sqconn/pool_test.go
+++ b/internal/edge/sqconn/pool_test.go
@@ -81,7 +81,7 @@
 	lines := make(chan string, 10)
 	address := raw(t, func(n int, c net.Conn, br *bufio.Reader) {
 		for {
-			line, err := br.Peek(27)
+			line, err := br.Peek(26)
 			if err != nil {
 				return
 			}
--- a/internal/edge/sqdaemon/adapted.go
+++ b/internal/edge/sqdaemon/adapted.go
@@ -150,6 +150,7 @@
 	d.targets.Expire = expireBeats * time.Duration(d.Settings.Platform.AnnounceEvery)
 	d.entry.Service = d.Settings.Platform.Service
 	d.entry.Charger = d.purse
+	d.entry.Router.Shed.Fine = true
 	r := d.Settings.Platform.Retry
 	d.entry.Router.Bound = sqretry.Bound{
 		Ratio: boundPart * r.Ratio, Window: time.Duration(r.Window), Slack: boundPart * float64(r.Slack),
--- a/internal/edge/sqdaemon/listen.go
+++ b/internal/edge/sqdaemon/listen.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqentry"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqproblem"
 )
 
@@ -30,6 +31,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       sqentry.ConnContext,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 	}
 }
--- a/internal/edge/sqentry/decide.go
+++ b/internal/edge/sqentry/decide.go
@@ -23,6 +23,7 @@
 	a.NonIdempotent, a.Importance = r.NonIdempotent, r.Importance
 	a.Credit = squnit.Credit(r.Attempts - 1)
 	a.BodyMost = c.Limits.BodyBytes
+	a.Patience = timeout
 	if timeout == 0 || timeout > r.Timeout {
 		timeout = r.Timeout
 	}
@@ -50,7 +51,8 @@
 	}
 	a.Workspace, a.Weight = w.Name, squnit.Weight(max(1, w.Plan.Rate))
 	if w.Importance != nil {
-		a.Importance = *w.Importance
+		// The workspace's importance goes first, the route's decides within it.
+		a.Importance = *w.Importance + squnit.Importance(r.Importance.Named())
 	}
 	return nil
 }
--- a/internal/edge/sqentry/entry.go
+++ b/internal/edge/sqentry/entry.go
@@ -50,6 +50,11 @@
 	Deadline      time.Time
 	// Latency is the time within which an answer is worth most, 0 if unknown.
 	Latency time.Duration
+	// Patience is how long the caller goes on waiting, 0 if unknown; the deadline
+	// may be sooner.
+	Patience time.Duration
+	// Returning is set for a request that seems to come back after a refusal.
+	Returning bool
 	// Credit is the number of attempts beyond the first.
 	Credit squnit.Credit
 	// Operation is the caller's idempotency key, empty if none.
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -104,6 +104,10 @@
 	if q.Parent != nil {
 		q.Parent.Failed()
 	}
+	if q.Patience > 0 && refusal.Run == squnit.RunNot && refusal.Reason.Passing() {
+		left := q.Patience - time.Since(q.began)
+		refusal.RetryAfter = sqshed.Back(newRand(), left, q.Latency, q.entry.Router.Route.Usual(q.Service))
+	}
 	q.entry.refuse(q.front, w, &q.Ask, refusal)
 }
 
@@ -263,7 +267,11 @@
 	if q.Parent != nil {
 		return nil
 	}
-	d := q.entry.Router.Shed.Admit(time.Now(), newRand(), q.class(), q.Importance)
+	admit := q.entry.Router.Shed.Admit
+	if q.Returning {
+		admit = q.entry.Router.Shed.AdmitAgain
+	}
+	d := admit(time.Now(), newRand(), q.class(), q.Importance)
 	q.share = d.Share
 	if !d.OK {
 		return refuse(d.Reason, nil)
--- a/internal/policy/sqadmit/gate.go
+++ b/internal/policy/sqadmit/gate.go
@@ -262,7 +262,7 @@
 		switch {
 		case !now.Add(need).Before(w.Deadline):
 			e.Dropped = append(e.Dropped, g.drop(i, sqreason.ShedDeadline))
-		case w.Depth == 0 && now.Sub(w.at) > patience*time.Duration(1+w.Importance):
+		case w.Depth == 0 && now.Sub(w.at) > patience*time.Duration(1+w.Importance.Named()):
 			e.Dropped = append(e.Dropped, g.drop(i, g.queue.why(i)))
 		default:
 			i++
--- a/internal/policy/sqroute/link.go
+++ b/internal/policy/sqroute/link.go
@@ -21,10 +21,10 @@
 	at   time.Time
 }
 
-// reserved is the part of the bucket that is kept for higher importance.
-var reserved = [squnit.ImportanceLevels]float64{
-	squnit.ImportanceLow: 0.75, squnit.ImportanceNormal: 0.5,
-	squnit.ImportanceHigh: 0.25, squnit.ImportanceCritical: 0,
+// reserved is the part of the bucket that is kept for higher importance, from the
+// lowest named level on.
+var reserved = [squnit.ImportanceLevels / squnit.ImportanceSteps]float64{
+	0.75, 0.5, 0.25, 0,
 }
 
 // Has reports whether the bucket has more than what is reserved for calls of
@@ -33,7 +33,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	return b.left > reserved[min(i, squnit.ImportanceCritical)]*float64(b.Burst)
+	return b.left > reserved[i.Named()]*float64(b.Burst)
 }
 
 // Spend takes n bytes that have gone over the link. The bucket may go below
--- a/internal/policy/sqshed/table.go
+++ b/internal/policy/sqshed/table.go
@@ -3,11 +3,11 @@
 // answers, and lets the entry refuse at the first hop what would fail at a
 // later one (DAGOR, SoCC 2018; TopFull, SIGCOMM 2024).
 //
-// What is known is a cut on the scale of importance: 0 admits all, 1.3 none
-// that is low, 0.7 of what is normal and all above, 4 none. Every answer moves
-// it, whatever its request's importance, so few answers are enough. It comes
-// down at a bounded speed, so that demand comes back in steps that the gates
-// can measure, and without answers it comes down too, after a probe.
+// What is known is a cut on the scale of importance (scale): 0 admits all, 1.3
+// none of the lowest level and 0.7 of the next. Every answer moves it, whatever
+// its request's importance, so few answers are enough. It comes down at a bounded
+// speed, so that demand comes back in steps that the gates can measure, and
+// without answers it comes down too, after a probe.
 package sqshed
 
 import (
@@ -26,14 +26,18 @@
 	// minGain the least weight of one.
 	averageSpan = 150 * time.Millisecond
 	minGain     = 0.03
-	riseSpan    = 75 * time.Millisecond
+	worseSpan   = 75 * time.Millisecond
 	// fallSpeed is the greatest fall of a cut in levels a second.
 	fallSpeed = 5.0
 	// silence is the time without an answer after which a request is let
 	// through as a probe, and after which the cut falls at quietSpeed.
 	silence    = 200 * time.Millisecond
 	quietSpeed = 1.0
-	// openCut is the cut below which nothing is shed.
+	// againShare is the share of a level from which all that comes back to it is
+	// admitted: a caller comes back once, so returns are at most as many as the
+	// new requests that are refused, and half of them or more find room.
+	againShare = 0.3
+	// openCut is the part shed below which nothing is.
 	openCut = 0.005
 	// forgetAfter is the time after which a workspace's claim is forgotten.
 	forgetAfter = 5 * time.Second
@@ -108,7 +112,12 @@
 // Table is what one entry knows. The zero value knows of no shedding. Its
 // methods are safe for concurrent use and do not block.
 type Table struct {
+	// Fine says that requests have levels between the named ones, so that a
+	// named one that no request has is none.
+	Fine bool
+
 	mu     sync.Mutex
+	scale  scale
 	cuts   map[Class]cut
 	claims map[Class]claim
 }
@@ -125,8 +134,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	value := t.learnCut(now, c.route(), room, below)
-	if value <= 0 || room.All >= 1 {
+	if !t.learnCut(now, c.route(), room, below) || room.All >= 1 {
 		return
 	}
 	t.learnClaim(now, c.route(), room.ratio(room.Typical))
@@ -135,12 +143,14 @@
 	}
 }
 
-func (t *Table) learnCut(now time.Time, route Class, room *Room, below bool) float64 {
-	sample := room.cut()
+// learnCut takes in a room, and reports whether anything is shed after it.
+func (t *Table) learnCut(now time.Time, route Class, room *Room, below bool) bool {
+	t.see(room.Level)
+	sample := t.scale.cut(room)
 	k, ok := t.cuts[route]
 	if !ok {
 		if sample < openCut {
-			return 0
+			return false
 		}
 		k = cut{at: now.Add(-averageSpan / 4)}
 	}
@@ -151,14 +161,28 @@
 	k.at, k.deeper = now, below
 	if k.value < openCut {
 		delete(t.cuts, route)
-		return 0
+		return false
 	}
 	if t.cuts == nil {
 		t.cuts = make(map[Class]cut)
 		t.claims = make(map[Class]claim)
 	}
 	t.cuts[route] = k
-	return k.value
+	return true
+}
+
+// see takes a level into the scale. Cuts above it move up by it.
+func (t *Table) see(i squnit.Importance) {
+	at, added := t.scale.add(i, t.Fine)
+	if !added {
+		return
+	}
+	for c, k := range t.cuts {
+		if k.value > at {
+			k.value++
+			t.cuts[c] = k
+		}
+	}
 }
 
 func (t *Table) learnClaim(now time.Time, c Class, ratio float64) {
@@ -171,11 +195,12 @@
 	t.claims[c] = k
 }
 
-// gain is the weight of an answer that comes dt after the one before.
-func gain(dt time.Duration, rising bool) float64 {
+// gain is the weight of an answer that comes dt after the one before. Bad news
+// counts for more.
+func gain(dt time.Duration, worse bool) float64 {
 	span := averageSpan
-	if rising {
-		span = riseSpan
+	if worse {
+		span = worseSpan
 	}
 	return max(minGain, 1-math.Exp(-float64(dt)/float64(span)))
 }
@@ -198,8 +223,20 @@
 // Admit decides on a request of class c and importance i. Nested calls are not
 // asked about: they carry the share of their request.
 func (t *Table) Admit(now time.Time, rng *rand.Rand, c Class, i squnit.Importance) Admission {
+	return t.admit(now, rng, c, i, false)
+}
+
+// AdmitAgain decides on a request that comes back after a refusal: it goes
+// before new ones of its level, so that it is not refused twice where any of
+// them is served.
+func (t *Table) AdmitAgain(now time.Time, rng *rand.Rand, c Class, i squnit.Importance) Admission {
+	return t.admit(now, rng, c, i, true)
+}
+
+func (t *Table) admit(now time.Time, rng *rand.Rand, c Class, i squnit.Importance, again bool) Admission {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.see(i)
 	k, ok := t.cuts[c.route()]
 	if !ok {
 		return Admission{OK: true, Share: 1}
@@ -210,7 +247,11 @@
 	} else if typical, known := t.claims[c.route()]; known {
 		ratio = typical.ratio
 	}
-	share := min(1, max(0, float64(i)+1-k.forClaim(now, ratio)))
+	level := t.scale.at(i)
+	share := min(1, max(0, level+1-k.forClaim(now, ratio)))
+	if again && share >= againShare {
+		return Admission{OK: true, Share: 1}
+	}
 	if rng.Float64() < share {
 		return Admission{OK: true, Share: squnit.Share(share)}
 	}
@@ -219,14 +260,14 @@
 		t.cuts[c.route()] = k
 		return Admission{OK: true, Probe: true, Share: 1}
 	}
-	return Admission{Share: squnit.Share(share), Reason: k.reason(i, ratio)}
+	return Admission{Share: squnit.Share(share), Reason: k.reason(level, ratio)}
 }
 
-func (k *cut) reason(i squnit.Importance, ratio float64) sqreason.Refusal {
+func (k *cut) reason(level, ratio float64) sqreason.Refusal {
 	switch {
 	case k.deeper:
 		return sqreason.ShedDeeper
-	case float64(i)+1 > k.value && ratio > 1:
+	case level+1 > k.value && ratio > 1:
 		return sqreason.ShedFairness
 	default:
 		return sqreason.ShedImportance
