--- a/internal/base/sqreason/reason.go
+++ b/internal/base/sqreason/reason.go
@@ -30,6 +30,7 @@
 	TargetUnreachable  Refusal = "target-unreachable"
 	TargetBroken       Refusal = "target-broken"
 	TargetFailed       Refusal = "target-failed"
+	TargetRefused      Refusal = "target-refused"
 	PeerUnreachable    Refusal = "peer-unreachable"
 	PeerBroken         Refusal = "peer-broken"
 	LinkBudget         Refusal = "link-budget"
@@ -72,6 +73,7 @@
 	TargetUnreachable: http.StatusServiceUnavailable,
 	TargetBroken:      http.StatusBadGateway,
 	TargetFailed:      http.StatusBadGateway,
+	TargetRefused:     http.StatusServiceUnavailable,
 	PeerUnreachable:   http.StatusServiceUnavailable,
 	PeerBroken:        http.StatusBadGateway,
 	LinkBudget:        http.StatusServiceUnavailable,
@@ -110,7 +112,7 @@
 // Passing reports whether the reason may be over in a moment, so that the
 // caller can be told to come back.
 func (r Refusal) Passing() bool {
-	return r.Overload() || r.Gone() || r == ShedDeeper || r == DeadlineExceeded || r == LinkBudget
+	return r.Overload() || r.Gone() || r == ShedDeeper || r == TargetRefused || r == DeadlineExceeded || r == LinkBudget
 }
 
 // Gone reports whether the reason says that a target is leaving, or can't be
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -236,8 +236,10 @@
 	if !verdict.Retry || !q.entry.Router.takeRetry(now, q.Service) {
 		return false
 	}
-	q.credit--
-	q.repeat = true
+	if !verdict.Free {
+		q.credit--
+		q.repeat = true
+	}
 	if !verdict.ElsewhereOnly {
 		q.tried = nil
 	}
--- a/internal/edge/sqentry/router.go
+++ b/internal/edge/sqentry/router.go
@@ -134,7 +134,7 @@
 		return sqadmit.Cancelled
 	case refusal.Run == squnit.RunNot && refusal.Reason.Gone():
 		return sqadmit.Unreachable
-	case refusal.Run == squnit.RunNot:
+	case refusal.Run == squnit.RunNot && refusal.Reason != sqreason.TargetRefused:
 		return sqadmit.Shed
 	default:
 		return sqadmit.Failed
--- a/internal/edge/sqgate/exchange.go
+++ b/internal/edge/sqgate/exchange.go
@@ -68,7 +68,7 @@
 		x.gate.moved(x.head, x.ticket.address)
 		return x.fail(sqerror.Refuse(sqerror.StepTarget, sqreason.TargetNone, errMoved), start)
 	case v.Refused != sqreason.NoReason:
-		return x.fail(sqerror.Refuse(sqerror.StepTarget, v.Refused, nil), start)
+		return x.fail(sqerror.Refuse(sqerror.StepTarget, x.refusedBy(v.Refused), nil), start)
 	case v.Broken:
 		err := errors.Errorf("answer with status %d can't be passed on", resp.StatusCode)
 		return x.fail(sqerror.Uncertain(sqerror.StepTarget, sqreason.TargetBroken, err), start)
@@ -76,6 +76,16 @@
 	return x.answer(ctx, resp, start)
 }
 
+// refusedBy returns the reason of a target's refusal. Where the gate knows the
+// slots, a target that says it is full is at fault.
+func (x *exchange) refusedBy(reason sqreason.Refusal) sqreason.Refusal {
+	exact, ok := x.ticket.door.admission.(interface{ KnowsSlots() bool })
+	if reason == sqreason.ShedByTarget && ok && exact.KnowsSlots() {
+		return sqreason.TargetRefused
+	}
+	return reason
+}
+
 // refusalBytes bounds what is read of a target's refusal.
 const refusalBytes = 4 << 10
 
--- a/internal/policy/sqadmit/gate.go
+++ b/internal/policy/sqadmit/gate.go
@@ -77,6 +77,9 @@
 	at       float64
 }
 
+// KnowsSlots reports whether the gate knows what the target runs at once.
+func (g *Gate) KnowsSlots() bool { return g.Exact }
+
 // Announce sets the slots that the target says it has, and ends a drain.
 func (g *Gate) Announce(now time.Time, slots squnit.Slots) Effect {
 	g.mu.Lock()
--- a/internal/policy/sqretry/decide.go
+++ b/internal/policy/sqretry/decide.go
@@ -53,6 +53,8 @@
 	// ElsewhereOnly bars the targets already tried.
 	ElsewhereOnly bool
 	Backoff       time.Duration
+	// Free says that the attempt costs no credit.
+	Free bool
 }
 
 // Decide decides on another attempt. What is certain to be harmless comes
@@ -70,10 +72,13 @@
 		return no(sqreason.NoRetryBodySpent)
 	case shed && (a.ServiceSheds || a.Sheds > 1):
 		return no(sqreason.NoRetryServiceShed)
-	case !a.OtherTarget && a.Run == squnit.RunNot:
+	case !a.OtherTarget && a.Run == squnit.RunNot && a.Reason != sqreason.TargetRefused:
 		return no(sqreason.NoRetryNoOtherPlace)
 	}
 	wait := backoff(rng, a)
+	if a.Reason == sqreason.TargetRefused {
+		return refused(a, wait)
+	}
 	switch {
 	case a.Left <= wait+time.Duration(usualMargin*float64(a.Usual)):
 		return no(sqreason.NoRetryDeadline)
@@ -85,6 +90,24 @@
 	return Verdict{Retry: true, Reason: why(a), ElsewhereOnly: a.OtherTarget, Backoff: wait}
 }
 
+// refusedMost bounds the attempts of one call that targets refuse at random.
+const refusedMost = 3
+
+// refused decides after a target refused a call for which it had a slot. Nothing
+// has run, so no credit is spent; the budget alone bounds such attempts. Another
+// target goes first, but the same one may take the call the next time.
+func refused(a Attempt, wait time.Duration) Verdict {
+	switch {
+	case a.Tries >= refusedMost:
+		return no(sqreason.NoRetryCredit)
+	case a.Left <= wait+time.Duration(usualMargin*float64(a.Usual)):
+		return no(sqreason.NoRetryDeadline)
+	case !a.Budget:
+		return no(sqreason.NoRetryBudget)
+	}
+	return Verdict{Retry: true, Reason: sqreason.RetryNotRun, ElsewhereOnly: a.OtherTarget, Free: true}
+}
+
 // final reports whether a refusal would be the same anywhere.
 func final(r sqreason.Refusal) bool {
 	switch r {
