--- a/internal/policy/sqroute/router.go
+++ b/internal/policy/sqroute/router.go
@@ -128,6 +128,10 @@
 			continue
 		}
 		remote := tier == tierRemote
+		if tier == tierDataCentre && r.spills(now, t, pairs) {
+			first = row
+			continue
+		}
 		if remote && !r.mayLeave(now, row.Region, req.Importance, first != nil) {
 			reason = sqreason.LinkBudget
 			break
@@ -145,6 +149,17 @@
 	return Choice{Row: *first, Remote: r.tier(first) == tierRemote}
 }
 
+// spills reports whether a call goes to another data centre of the region
+// although the own one has room: its targets are nearly full and those there are
+// not, so that a way of a millisecond saves a wait in a queue.
+func (r *Router) spills(now time.Time, own *target, pairs *[tiers]pair) bool {
+	if own.load(now) < fullBusy {
+		return false
+	}
+	_, other := pairs[tierRegion].best(now)
+	return other != nil && other.load(now) < own.load(now)-spillGap
+}
+
 // mayLeave reports whether a call may go to another region: any while the
 // budget lasts if there is no nearer target, and only the more important ones
 // if the nearer targets are short.
--- a/internal/policy/sqroute/target.go
+++ b/internal/policy/sqroute/target.go
@@ -20,6 +20,10 @@
 	// that from which the next tier is tried.
 	hotBusy   = 0.8
 	shortBusy = 1.2
+	// fullBusy is the busy part from which calls wait, or soon will, and
+	// spillGap how much less busy a target elsewhere in the region must be.
+	fullBusy = 0.9
+	spillGap = 0.25
 	// slowStart is the time over which a new target gets its full part of the
 	// calls, slowStartPart what it gets at first.
 	slowStart     = time.Second
