Move whole tokens, and ask first who had some to give

Cause, found by playing the parts in fake time: fractions of tokens were lent and lapsed unspent (a workspace of 3 a second from 16 daemons got 0.34 of its rate), and the nearest holders were asked again and again while the far ones had tokens (0.66 of a demand from one region).

--- a/internal/edge/sqpurse/purse.go
+++ b/internal/edge/sqpurse/purse.go
@@ -31,11 +31,14 @@
 	// chargeTimeout bounds the wait of a request for a token.
 	chargeTimeout = 150 * time.Millisecond
 	// asksMost bounds the holders that are asked in one round.
-	asksMost = 3
+	asksMost = 4
 	// dryLeast and dryMost bound how long a holder that had nothing to give is
-	// not asked again.
+	// not asked again; the time doubles with each such answer, so that those
+	// farther away have their turn.
 	dryLeast = 50 * time.Millisecond
-	dryMost  = 500 * time.Millisecond
+	dryMost  = 800 * time.Millisecond
+	// gaveFor is how long a holder that had tokens to give goes first.
+	gaveFor = 500 * time.Millisecond
 	// awayFor is how long a holder that did not answer is not asked again.
 	awayFor = time.Second
 	// idleAfter is the time after which the account of a workspace that asks for
@@ -96,7 +99,19 @@
 	// round is closed when the round of asking under way has ended; nil if
 	// there is none.
 	round chan struct{}
-	dry   map[sqid.DaemonID]time.Time
+	// gave is when any holder last gave tokens.
+	gave time.Time
+	// lenders is what the last answers of other holders have shown.
+	lenders map[sqid.DaemonID]lender
+}
+
+// lender is what is known of another holder.
+type lender struct {
+	// dry is until when it need not be asked, after misses answers in a row that
+	// gave nothing.
+	dry    time.Time
+	misses int
+	gave   time.Time
 }
 
 // Register adds the service to a server.
@@ -133,7 +148,7 @@
 func (p *Purse) account(w sqid.WorkspaceID, plan sqlimit.Capacity, now time.Time) *account {
 	a := p.accounts[w]
 	if a == nil {
-		a = &account{dry: make(map[sqid.DaemonID]time.Time)}
+		a = &account{lenders: make(map[sqid.DaemonID]lender)}
 		if p.accounts == nil {
 			p.accounts = make(map[sqid.WorkspaceID]*account)
 			p.members = firstMembers(p.members, p.Members)
@@ -191,6 +206,10 @@
 	a := p.account(w, plan, now)
 	a.Want(now)
 	if a.Spend(now) {
+		if now.Sub(a.gave) < gaveFor && a.Ask(now, 0) > 0 {
+			// Others have tokens to spare, and the next requests need them.
+			p.ask(w, a, now)
+		}
 		p.mu.Unlock()
 		return true, 0, nil
 	}
@@ -252,7 +271,7 @@
 	if a.round != nil {
 		return a.round
 	}
-	from := p.lenders(a, now)
+	from := p.worthAsking(a, now)
 	if len(from) == 0 {
 		return nil
 	}
@@ -262,19 +281,22 @@
 	return round
 }
 
-// lenders returns the holders worth asking, nearest first.
-func (p *Purse) lenders(a *account, now time.Time) []Member {
-	var from []Member
+// worthAsking returns the holders to be asked in one round: those that had
+// something to give lately, then the nearest.
+func (p *Purse) worthAsking(a *account, now time.Time) []Member {
+	var from, others []Member
 	for _, m := range a.holders {
-		if len(from) == asksMost {
-			break
-		}
-		if now.Before(a.dry[m.ID]) || now.Before(p.silent[m.ID]) {
-			continue
+		l := a.lenders[m.ID]
+		switch {
+		case now.Before(l.dry) || now.Before(p.silent[m.ID]):
+		case now.Sub(l.gave) < gaveFor:
+			from = append(from, m)
+		default:
+			others = append(others, m)
 		}
-		from = append(from, m)
 	}
-	return from
+	from = append(from, others...)
+	return from[:min(len(from), asksMost)]
 }
 
 // run asks holders in turn until the waiting requests have their tokens.
@@ -319,13 +341,22 @@
 		return
 	}
 	given := min(want, squnit.Tokens(answer.GetTokens()))
-	a.Borrow(now, given)
+	l := a.lenders[m.ID]
+	if given > 0 {
+		a.Borrow(now, given)
+		a.gave, l = now, lender{gave: now}
+	}
 	if given < want {
 		next := time.Duration(answer.GetNextUs()) * time.Microsecond
-		a.dry[m.ID] = now.Add(min(dryMost, max(dryLeast, next)))
+		l.dry = now.Add(min(dryMost, max(dryLeast<<l.misses, next)))
+		l.misses = min(l.misses+1, missesMost)
 	}
+	a.lenders[m.ID] = l
 }
 
+// missesMost bounds the doubling of the time for which a holder is not asked.
+const missesMost = 4
+
 // lend gives tokens of the daemon's own part to another.
 func (p *Purse) lend(w sqid.WorkspaceID, want squnit.Tokens) (squnit.Tokens, time.Duration) {
 	plan, limited := p.Plans.Plan(w)
--- a/internal/policy/sqparts/part.go
+++ b/internal/policy/sqparts/part.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -27,8 +28,9 @@
 	// purseTime is how much of its demand a daemon borrows at once, several
 	// round trips between regions.
 	purseTime = 200 * time.Millisecond
-	// purseKeep is how long borrowed tokens are kept unspent.
-	purseKeep = time.Second
+	// purseKeep is how long borrowed tokens are kept unspent. What lapses is lost
+	// to the workspace; what is kept for long would come on top of a full burst.
+	purseKeep = 2 * time.Second
 )
 
 // Count returns the number of holders among a number of members.
@@ -127,11 +129,11 @@
 }
 
 // Ask returns the number of tokens to ask another holder for while a number of
-// requests wait.
+// requests wait. They are whole ones: a fraction would mostly lapse unspent.
 func (a *Account) Ask(now time.Time, waiting int) squnit.Tokens {
 	a.advance(now)
 	want := max(float64(waiting), a.rate(now)*purseTime.Seconds())
-	return max(0, squnit.Tokens(want)-a.part.Tokens-a.purse)
+	return squnit.Tokens(math.Ceil(max(0, want-float64(a.part.Tokens+a.purse))))
 }
 
 // Borrow puts borrowed tokens into the purse.
@@ -141,11 +143,12 @@
 	a.borrowed = now
 }
 
-// Lend takes tokens out of the daemon's part for another, as many as its own
-// demand leaves.
+// Lend takes whole tokens out of the daemon's part for another, as many as its
+// own demand leaves.
 func (a *Account) Lend(now time.Time, want squnit.Tokens) squnit.Tokens {
 	a.advance(now)
 	n := min(want, a.part.Tokens-squnit.Tokens(a.rate(now)*reserveTime.Seconds()))
+	n = squnit.Tokens(math.Floor(float64(n)))
 	if n <= 0 {
 		return 0
 	}
