Log each refusal and further attempt with what decided it, within a bound

Lines are written in batches by a writer that never blocks; beyond 40 a second (200 at once) lines about requests are counted and the count is told.

--- a/Makefile
+++ b/Makefile
@@ -13,13 +13,13 @@
 	$(GO) run ./cmd/sequoia-standin demo
 
 lint:
-	@test -z "$$($(TOOL) gofumpt -l cmd internal)" || { $(TOOL) gofumpt -l cmd internal; exit 1; }
+	@test -z "$$($(TOOL) gofumpt -l cmd internal platform)" || { $(TOOL) gofumpt -l cmd internal platform; exit 1; }
 	$(GO) vet ./...
 	$(TOOL) staticcheck ./...
 	$(TOOL) revive -config revive.toml -set_exit_status ./...
 
 format:
-	$(TOOL) gofumpt -w cmd internal
+	$(TOOL) gofumpt -w cmd internal platform
 
 # The generated code is committed; this needs protoc from protobuf-compiler.
 generate:
--- a/cmd/sequoiatack/daemon.go
+++ b/cmd/sequoiatack/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"runtime"
@@ -44,7 +45,17 @@
 	if err != nil {
 		return err
 	}
-	log, err := sqlog.New(os.Stderr, cfg.Log.Level)
+	out := &sqlog.Writer{Out: os.Stdout}
+	writing, stop := context.WithCancel(context.WithoutCancel(ctx))
+	written := make(chan error, 1)
+	go func() { written <- out.Run(writing) }()
+	defer func() {
+		stop()
+		if err := <-written; err != nil {
+			fmt.Fprintln(os.Stderr, "sequoiatack:", err)
+		}
+	}()
+	log, err := sqlog.New(out, cfg.Log.Level)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/base/sqlog/lost.go
@@ -0,0 +1,20 @@
+package sqlog
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// lostLine tells that the reader of the log was too slow.
+func lostLine(n int) []byte {
+	line, err := json.Marshal(struct {
+		Time  time.Time `json:"time"`
+		Level string    `json:"level"`
+		Msg   string    `json:"msg"`
+		Count int       `json:"count"`
+	}{time.Now(), "WARN", "lines lost: the log is read too slowly", n})
+	if err != nil {
+		return nil
+	}
+	return append(line, '\n')
+}
--- a/internal/edge/sqdaemon/adapted.go
+++ b/internal/edge/sqdaemon/adapted.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
@@ -107,6 +108,32 @@
 		Least: len(d.Settings.Platform.DataCentres), Logger: d.Logger,
 	}
 	d.timer.Subscribe(sqpurse.TickPeriod, d.purse)
+	d.timer.Subscribe(sqpurse.TickPeriod, &peerLog{member: d.member, logger: d.Logger})
+}
+
+// peerLog is a system that logs what the daemon believes of its peers when that
+// changes.
+type peerLog struct {
+	member *sqmember.Member
+	logger logr.Logger
+	states map[sqid.DaemonID]sqmember.State
+}
+
+// Tick logs the changes since the last one.
+func (l *peerLog) Tick(time.Time) {
+	if l.states == nil {
+		l.states = make(map[sqid.DaemonID]sqmember.State)
+	}
+	self := l.member.Self().ID
+	l.member.Each(func(r sqmember.Row) bool {
+		before, known := l.states[r.ID]
+		if r.ID != self && (!known || before != r.State) {
+			l.states[r.ID] = r.State
+			l.logger.Info("peer changed", "peer", r.ID, "state", r.State.String(), "known", known,
+				"dataCentre", r.DataCentre, "incarnation", r.Incarnation)
+		}
+		return true
+	})
 }
 
 // plans gives the purse the rates of the catalog in force.
--- a/internal/edge/sqdaemon/build.go
+++ b/internal/edge/sqdaemon/build.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqlog"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqsettings"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqtimer"
@@ -141,7 +142,7 @@
 	}
 	d.entry = &sqentry.Entry{
 		Daemon: s.DaemonName, Router: router, Gate: d.gate, Conns: d.pool, Calls: d.calls,
-		Metrics: d.metrics, Logger: d.Logger, Suspect: d.member.Suspect, Stopping: d.stopping.Load,
+		Metrics: d.metrics, Decisions: &sqlog.Decisions{Logger: d.Logger}, Suspect: d.member.Suspect, Stopping: d.stopping.Load,
 	}
 	if d.Adapter != nil {
 		d.adaptPath()
@@ -149,6 +150,7 @@
 		d.entry.Lists, d.entry.Charger, d.entry.Operations = lists{d}, charger{d.ledger}, operations{d.books}
 	}
 	d.timer.Subscribe(connsTick, d.gate)
+	d.timer.Subscribe(sqlog.DecisionsTick, d.entry.Decisions)
 	d.timer.Subscribe(targetsTick, d.targets)
 	d.timer.Subscribe(routerTick, router)
 	d.timer.Subscribe(routerTick, &links{member: d.member, route: router.Route, region: s.Region, rate: s.LinkBytesPerSecond})
--- a/internal/edge/sqdaemon/path_test.go
+++ b/internal/edge/sqdaemon/path_test.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqlog"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqentry"
@@ -88,7 +89,7 @@
 	pool := new(sqpeer.Pool)
 	entry := &sqentry.Entry{
 		Daemon: name, Lists: f.lists, Router: newRouter(f.known), Gate: n.gate, Conns: pool, Calls: calls,
-		Charger: openCharger{}, Operations: noOperations{}, Metrics: f.metric, Logger: logr.Discard(), Suspect: func(sqid.DaemonID) {}, Stopping: func() bool { return false },
+		Charger: openCharger{}, Operations: noOperations{}, Metrics: f.metric, Decisions: &sqlog.Decisions{Logger: logr.Discard()}, Suspect: func(sqid.DaemonID) {}, Stopping: func() bool { return false },
 	}
 	server := sqpeer.NewServer()
 	(&sqgate.Server{Gate: n.gate}).Register(server)
--- a/internal/edge/sqentry/entry.go
+++ b/internal/edge/sqentry/entry.go
@@ -8,11 +8,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-logr/logr"
 	"google.golang.org/grpc"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/sqlog"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
@@ -95,7 +95,8 @@
 	// Operations decides on requests with idempotency keys.
 	Operations Operations
 	Metrics    *sqmetric.Set
-	Logger     logr.Logger
+	// Decisions has a line for each refusal and each further attempt.
+	Decisions *sqlog.Decisions
 	// Suspect is told of a daemon that could not be reached.
 	Suspect func(id sqid.DaemonID)
 	active  atomic.Int64
@@ -141,9 +142,31 @@
 	}
 	e.Metrics.Refusals.WithLabelValues(string(refusal.Reason)).Inc()
 	e.Metrics.Calls.WithLabelValues(refusal.Run.String()).Inc()
+	e.Decisions.Info("request refused", append(a.fields(),
+		"reason", refusal.Reason, "run", refusal.Run.String(), "step", refusal.Step, "peer", refusal.Peer,
+		"retryAfterMs", refusal.RetryAfter.Milliseconds(), "cause", causeOf(refusal))...)
 	f.Refuse(w, a, refusal)
 }
 
+// fields are a request's fields in lines of the log.
+func (a *Ask) fields() []any {
+	left := int64(0)
+	if !a.Deadline.IsZero() {
+		left = time.Until(a.Deadline).Milliseconds()
+	}
+	return []any{
+		"request", a.ID, "service", a.Service, "route", a.Route, "workspace", a.Workspace,
+		"importance", int(a.Importance), "nested", a.Parent != nil, "leftMs", left, "returning", a.Returning,
+	}
+}
+
+func causeOf(e *sqerror.Error) string {
+	if e.Err == nil {
+		return ""
+	}
+	return e.Err.Error()
+}
+
 func refuse(reason sqreason.Refusal, err error) *sqerror.Error {
 	return sqerror.Refuse(sqerror.StepEntry, reason, err)
 }
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -208,6 +208,15 @@
 // retry decides whether another attempt is made after a refusal, and waits
 // for as long as it should be put off.
 func (q *request) retry(e *sqerror.Error) bool {
+	retry := q.decide(e)
+	q.entry.Decisions.Info("attempt failed", append(q.fields(),
+		"reason", e.Reason, "run", e.Run.String(), "step", e.Step, "peer", e.Peer, "again", retry,
+		"attempts", q.tries+q.reroutes, "credit", int(q.credit), "cause", causeOf(e))...)
+	return retry
+}
+
+// decide decides whether another attempt is made.
+func (q *request) decide(e *sqerror.Error) bool {
 	if q.reroute(e) {
 		q.entry.Metrics.Retries.WithLabelValues(string(sqreason.RetryPeerDown)).Inc()
 		return true
--- a/internal/edge/sqplatform/client.go
+++ b/internal/edge/sqplatform/client.go
@@ -1,3 +1,4 @@
+// Package sqplatform is the platform of an etcd v3 service.
 package sqplatform
 
 import (
