Try another target when one with free slots gives no answer in several times the usual time

Calls below a request now share a credit of 15, of which each hop keeps one; each hop's attempts are bounded by its route's.

--- a/internal/base/sqreason/reason.go
+++ b/internal/base/sqreason/reason.go
@@ -31,6 +31,7 @@
 	TargetBroken       Refusal = "target-broken"
 	TargetFailed       Refusal = "target-failed"
 	TargetRefused      Refusal = "target-refused"
+	TargetSilent       Refusal = "target-silent"
 	PeerUnreachable    Refusal = "peer-unreachable"
 	PeerBroken         Refusal = "peer-broken"
 	LinkBudget         Refusal = "link-budget"
@@ -74,6 +75,7 @@
 	TargetBroken:      http.StatusBadGateway,
 	TargetFailed:      http.StatusBadGateway,
 	TargetRefused:     http.StatusServiceUnavailable,
+	TargetSilent:      http.StatusGatewayTimeout,
 	PeerUnreachable:   http.StatusServiceUnavailable,
 	PeerBroken:        http.StatusBadGateway,
 	LinkBudget:        http.StatusServiceUnavailable,
--- a/internal/edge/sqentry/answer.go
+++ b/internal/edge/sqentry/answer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -33,6 +34,8 @@
 	// failedBelow says that a nested call of the target's had failed for good.
 	failedBelow bool
 
+	// started is set with the first frame.
+	started atomic.Bool
 	begun   bool
 	last    bool
 	refusal *sqerror.Error
@@ -46,6 +49,7 @@
 
 // Send takes the next frame.
 func (a *answer) Send(frame *sqcallwire.AnswerFrame) error {
+	a.started.Store(true)
 	if a.last {
 		return errors.New("frame after the last")
 	}
--- a/internal/edge/sqentry/attempt.go
+++ b/internal/edge/sqentry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -29,8 +30,14 @@
 	q.last = a
 	start := time.Now()
 	q.entry.Router.Route.Started(t.ID)
-	err := q.exchange(t, a)
+	ctx, silent, stop := q.patience(t, a)
+	err := q.exchange(ctx, t, a)
+	stop()
 	refusal := q.outcome(t, a, err)
+	if silent.Load() && refusal != nil && q.ctx.Err() == nil {
+		refusal = sqerror.Uncertain(sqerror.StepTarget, sqreason.TargetSilent, nil)
+		refusal.Peer = t.ID.Daemon
+	}
 	q.entry.Router.Route.SpendLink(time.Now(), t.Region, a.received+q.sent())
 	q.entry.Router.ended(q, t.ID, time.Since(start), refusal, a.load)
 	q.settle(a, refusal)
@@ -47,6 +54,41 @@
 	return refusal
 }
 
+const (
+	// silentFactor is the number of usual times after which a call that may be
+	// repeated is taken for lost, silentLeast the least time for that: shorter
+	// than it, a queue at the target explains the wait.
+	silentFactor = 4
+	silentLeast  = 150 * time.Millisecond
+)
+
+// patience returns the context of an attempt, which ends before the request's
+// own if a target with free slots gives no answer in several times the usual time
+// and there would be time and leave for another attempt. silent tells that this was so.
+func (q *request) patience(t sqtarget.Row, a *answer) (ctx context.Context, silent *atomic.Bool, stop func()) {
+	silent = new(atomic.Bool)
+	ctx, cancel := context.WithCancel(q.ctx)
+	usual := q.entry.Router.Route.Usual(q.Service)
+	wait := max(silentLeast, silentFactor*usual)
+	switch {
+	case q.NonIdempotent || q.record != nil || q.Attempts == 0 || q.tries+1 >= q.Attempts || usual == 0:
+		return ctx, silent, cancel
+	case time.Until(q.Deadline) <= wait+usual:
+		return ctx, silent, cancel
+	}
+	timer := time.AfterFunc(wait, func() {
+		now := time.Now()
+		if !a.started.Load() && q.entry.Router.Route.Idle(now, t.ID) && q.entry.Router.mayRetry(now, q.Service) {
+			silent.Store(true)
+			cancel()
+		}
+	})
+	return ctx, silent, func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
 // sent is the size of the request's body as far as it is known.
 func (q *request) sent() squnit.Bytes {
 	return squnit.Bytes(max(q.contentLength, int64(len(q.body.first))))
@@ -72,12 +114,12 @@
 	q.front.Answer(h, &q.Ask, run)
 }
 
-func (q *request) exchange(t sqtarget.Row, a *answer) error {
+func (q *request) exchange(ctx context.Context, t sqtarget.Row, a *answer) error {
 	head := q.head(t)
 	if t.ID.Daemon == q.entry.Daemon {
-		return q.entry.Gate.Serve(q.ctx, head, q.body.reader(), q.body.whole, a)
+		return q.entry.Gate.Serve(ctx, head, q.body.reader(), q.body.whole, a)
 	}
-	return q.remote(t, head, a)
+	return q.remote(ctx, t, head, a)
 }
 
 func (q *request) head(t sqtarget.Row) *sqcallwire.CallHead {
@@ -96,12 +138,12 @@
 var errNotSent = errors.New("call was not sent")
 
 // remote has the call served by the target's own daemon.
-func (q *request) remote(t sqtarget.Row, head *sqcallwire.CallHead, a *answer) error {
+func (q *request) remote(ctx context.Context, t sqtarget.Row, head *sqcallwire.CallHead, a *answer) error {
 	conn, err := q.entry.Conns.Conn(t.PeerAddress)
 	if err != nil {
 		return errors.Wrap(errNotSent, err.Error())
 	}
-	ctx, cancel := context.WithCancel(q.ctx)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := sqcallwire.NewGateClient(conn).Call(ctx)
 	if err != nil {
--- a/internal/edge/sqentry/decide.go
+++ b/internal/edge/sqentry/decide.go
@@ -10,6 +10,11 @@
 	"github.com/sequoiatack/sequoiatack/internal/state/sqcatalog"
 )
 
+// chainCredit is the number of attempts beyond the first for a request and all
+// calls below it. Each hop keeps one and grants half of the rest to a call, so a
+// call four hops down may be tried again once; each hop's own bound is its route's.
+const chainCredit squnit.Credit = 15
+
 // Decide fills in what a catalog says of a request, of which the host, the path
 // and the parent are known. key is the caller's, empty if it sent none; timeout
 // is how long the caller waits, 0 if it does not say. It returns the refusal of
@@ -21,7 +26,7 @@
 	}
 	a.Service, a.Named, a.Route = r.Choose(), true, r.Name
 	a.NonIdempotent, a.Importance = r.NonIdempotent, r.Importance
-	a.Credit = squnit.Credit(r.Attempts - 1)
+	a.Credit, a.Attempts = chainCredit, r.Attempts
 	a.BodyMost = c.Limits.BodyBytes
 	a.Patience = timeout
 	if timeout == 0 || timeout > r.Timeout {
--- a/internal/edge/sqentry/entry.go
+++ b/internal/edge/sqentry/entry.go
@@ -55,8 +55,12 @@
 	Patience time.Duration
 	// Returning is set for a request that seems to come back after a refusal.
 	Returning bool
-	// Credit is the number of attempts beyond the first.
+	// Credit is the number of attempts beyond the first, of the request and of all
+	// calls below it.
 	Credit squnit.Credit
+	// Attempts bounds the targets that the request itself is sent to; 0 leaves
+	// that to the credit.
+	Attempts int
 	// Operation is the caller's idempotency key, empty if none.
 	Operation string
 	// Parent is the call that a nested call is made for, nil for callers'.
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -231,6 +231,7 @@
 		Run:           e.Run,
 		Reason:        e.Reason,
 		Tries:         q.tries,
+		Most:          q.Attempts,
 		Sheds:         q.sheds,
 		Left:          q.Deadline.Sub(now),
 		Usual:         q.entry.Router.Route.Usual(q.Service),
--- a/internal/policy/sqretry/decide.go
+++ b/internal/policy/sqretry/decide.go
@@ -27,6 +27,8 @@
 	// Tries is the number of attempts made, at least 1; Sheds is how many of
 	// them were refused for overload.
 	Tries, Sheds int
+	// Most bounds the attempts; 0 leaves that to the credit.
+	Most int
 	// Left is the time until the deadline, Usual the service's usual time.
 	Left, Usual time.Duration
 	// Credit and Budget are what the request and the edge have left. A retry
@@ -66,6 +68,8 @@
 	}
 	shed := a.Reason.Overload()
 	switch {
+	case a.Most > 0 && a.Tries >= a.Most:
+		return no(sqreason.NoRetryCredit)
 	case a.NonIdempotent && a.Run != squnit.RunNot:
 		return no(sqreason.NoRetryUncertain)
 	case a.BodySpent:
@@ -90,16 +94,11 @@
 	return Verdict{Retry: true, Reason: why(a), ElsewhereOnly: a.OtherTarget, Backoff: wait}
 }
 
-// refusedMost bounds the attempts of one call that targets refuse at random.
-const refusedMost = 3
-
 // refused decides after a target refused a call for which it had a slot. Nothing
 // has run, so no credit is spent; the budget alone bounds such attempts. Another
 // target goes first, but the same one may take the call the next time.
 func refused(a Attempt, wait time.Duration) Verdict {
 	switch {
-	case a.Tries >= refusedMost:
-		return no(sqreason.NoRetryCredit)
 	case a.Left <= wait+time.Duration(usualMargin*float64(a.Usual)):
 		return no(sqreason.NoRetryDeadline)
 	case !a.Budget:
--- a/internal/policy/sqroute/router.go
+++ b/internal/policy/sqroute/router.go
@@ -231,6 +231,15 @@
 	return 0
 }
 
+// Idle reports whether a target has had free slots by what was last heard of it,
+// so that a call to it does not wait in a queue.
+func (r *Router) Idle(now time.Time, id sqtarget.ID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.targets[id]
+	return t != nil && now.Sub(t.busyAt) < idleKnown && t.busy < idleBusy
+}
+
 // Sheds reports whether the service as a whole sheds: most of the targets that
 // answered lately had no room for the calls they answered.
 func (r *Router) Sheds(now time.Time, name sqid.ServiceID) bool {
--- a/internal/policy/sqroute/target.go
+++ b/internal/policy/sqroute/target.go
@@ -24,6 +24,10 @@
 	// spillGap how much less busy a target elsewhere in the region must be.
 	fullBusy = 0.9
 	spillGap = 0.25
+	// idleBusy is the busy part below which calls don't wait, idleKnown how long
+	// a report of it counts.
+	idleBusy  = 0.7
+	idleKnown = time.Second
 	// slowStart is the time over which a new target gets its full part of the
 	// calls, slowStartPart what it gets at first.
 	slowStart     = time.Second
