Don't take a target out for a call below it that failed

The answer says that something failed below, and is no sign of the target now; a failure of its own counts also where the request can't be repeated. TestFailureBelowIsNotTheTargets fails without it. What a target is taken out for is logged.

--- a/internal/edge/sqdaemon/build.go
+++ b/internal/edge/sqdaemon/build.go
@@ -137,8 +137,14 @@
 	}
 	router := &sqentry.Router{
 		Targets: d.fleet,
-		Route:   &sqroute.Router{DataCentre: s.DataCentre, Region: s.Region},
-		Shed:    new(sqshed.Table),
+		Route: &sqroute.Router{
+			DataCentre: s.DataCentre, Region: s.Region,
+			OnEject: func(id sqtarget.ID, failed float64, lasts time.Duration) {
+				d.Logger.Info("target taken out for its failures", "target", id.Target, "peer", id.Daemon,
+					"failedPart", failed, "lastsMs", lasts.Milliseconds())
+			},
+		},
+		Shed: new(sqshed.Table),
 	}
 	d.entry = &sqentry.Entry{
 		Daemon: s.DaemonName, Router: router, Gate: d.gate, Conns: d.pool, Calls: d.calls,
--- a/internal/edge/sqdaemon/chain_test.go
+++ b/internal/edge/sqdaemon/chain_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
 )
 
 // forward makes a nested call to a service beside node i and passes its answer
@@ -99,3 +101,30 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, d <= 200*time.Millisecond, qt.IsTrue)
 }
+
+// TestFailureBelowIsNotTheTargets has the deepest service fail every call: the
+// targets that called it are not taken out for that.
+func TestFailureBelowIsNotTheTargets(t *testing.T) {
+	f := newFleet(t, 3, allow(0, "outer"))
+	out := make(map[sqtarget.ID]bool)
+	for i, n := range f.nodes {
+		f.target(i, "inner", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		f.target(i, "outer", func(w http.ResponseWriter, r *http.Request) {
+			inner, err := http.NewRequestWithContext(r.Context(), http.MethodGet, f.nodes[i].local.URL+"/call/inner/x", nil)
+			qt.Check(t, err, qt.IsNil)
+			inner.Header.Set("Sequoia-Call", r.Header.Get("Sequoia-Call"))
+			resp, err := http.DefaultClient.Do(inner)
+			qt.Check(t, err, qt.IsNil)
+			_ = resp.Body.Close()
+			w.WriteHeader(http.StatusInternalServerError)
+		})
+		n.router.Route.OnEject = func(id sqtarget.ID, _ float64, _ time.Duration) { out[id] = true }
+	}
+	for range 40 {
+		resp, _ := f.do(http.MethodGet, "/outer/x", testKey, nil)
+		qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusInternalServerError)
+	}
+	for id := range out {
+		qt.Check(t, strings.HasPrefix(string(id.Target), "inner"), qt.IsTrue, qt.Commentf("%s was taken out", id.Target))
+	}
+}
--- a/internal/edge/sqdaemon/path_test.go
+++ b/internal/edge/sqdaemon/path_test.go
@@ -59,6 +59,7 @@
 	local   *httptest.Server
 	targets *sqgate.Targets
 	gate    *sqgate.Gate
+	router  *sqentry.Router
 }
 
 // fleet is a few nodes that know each other's targets.
@@ -84,11 +85,11 @@
 
 func (f *fleet) newNode(name sqid.DaemonID) *node {
 	calls := new(sqcall.Table)
-	n := &node{name: name, targets: new(sqgate.Targets)}
+	n := &node{name: name, targets: new(sqgate.Targets), router: newRouter(f.known)}
 	n.gate = &sqgate.Gate{Daemon: name, Targets: n.targets, Calls: calls, Metrics: f.metric, Logger: logr.Discard(), Conns: sqgate.NewConns()}
 	pool := new(sqpeer.Pool)
 	entry := &sqentry.Entry{
-		Daemon: name, Lists: f.lists, Router: newRouter(f.known), Gate: n.gate, Conns: pool, Calls: calls,
+		Daemon: name, Lists: f.lists, Router: n.router, Gate: n.gate, Conns: pool, Calls: calls,
 		Charger: openCharger{}, Operations: noOperations{}, Metrics: f.metric, Decisions: &sqlog.Decisions{Logger: logr.Discard()}, Suspect: func(sqid.DaemonID) {}, Stopping: func() bool { return false },
 	}
 	server := sqpeer.NewServer()
--- a/internal/edge/sqentry/answer.go
+++ b/internal/edge/sqentry/answer.go
@@ -37,6 +37,7 @@
 	// started is set with the first frame.
 	started atomic.Bool
 	begun   bool
+	status  int
 	last    bool
 	refusal *sqerror.Error
 	load    *sqcallwire.Load
@@ -89,7 +90,7 @@
 }
 
 func (a *answer) begin(head *sqcallwire.AnswerHead) {
-	a.begun = true
+	a.begun, a.status = true, int(head.GetStatus())
 	h := a.w.Header()
 	sqheader.Set(h, head.GetHeaders())
 	a.prepare(h, squnit.RunState(head.GetRun()))
--- a/internal/edge/sqentry/attempt.go
+++ b/internal/edge/sqentry/attempt.go
@@ -39,7 +39,7 @@
 		refusal.Peer = t.ID.Daemon
 	}
 	q.entry.Router.Route.SpendLink(time.Now(), t.Region, a.received+q.sent())
-	q.entry.Router.ended(q, t.ID, time.Since(start), refusal, a.load)
+	q.entry.Router.ended(q, t.ID, time.Since(start), refusal, a)
 	q.settle(a, refusal)
 	switch {
 	case refusal == nil:
--- a/internal/edge/sqentry/router.go
+++ b/internal/edge/sqentry/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
@@ -107,9 +108,17 @@
 }
 
 // ended learns from the end of an attempt.
-func (t *Router) ended(q *request, id sqtarget.ID, took time.Duration, refusal *sqerror.Error, l *sqcallwire.Load) {
-	now := time.Now()
-	t.Route.Ended(now, id, took, outcomeOf(refusal), loadOf(l))
+func (t *Router) ended(q *request, id sqtarget.ID, took time.Duration, refusal *sqerror.Error, a *answer) {
+	now, l := time.Now(), a.load
+	outcome := outcomeOf(refusal)
+	switch {
+	case a.failedBelow:
+		// What failed is a call that the target made, not the target.
+		outcome = sqadmit.Cancelled
+	case refusal == nil && a.status >= http.StatusInternalServerError:
+		outcome = sqadmit.Failed
+	}
+	t.Route.Ended(now, id, took, outcome, loadOf(l))
 	if l == nil {
 		return
 	}
--- a/internal/policy/sqroute/router.go
+++ b/internal/policy/sqroute/router.go
@@ -43,6 +43,10 @@
 	// Links hold the byte budgets to the other regions; a region without one
 	// is not used.
 	Links map[sqid.RegionID]*LinkBudget
+	// OnEject is called when a target is taken out for its failures, with the part
+	// of its calls that failed and the time until it is tried again. It must not
+	// call the router; nil is not called.
+	OnEject func(id sqtarget.ID, failed float64, lasts time.Duration)
 
 	mu       sync.Mutex
 	services map[sqid.ServiceID]*service
@@ -203,7 +207,9 @@
 	t.inFlight = max(0, t.inFlight-1)
 	t.observe(now, latency, o, load)
 	if o == sqadmit.Failed || o == sqadmit.Unreachable {
-		t.service.maybeEject(now, t)
+		if lasts := t.service.maybeEject(now, t); lasts > 0 && r.OnEject != nil {
+			r.OnEject(id, t.fails, lasts)
+		}
 	}
 }
 
--- a/internal/policy/sqroute/target.go
+++ b/internal/policy/sqroute/target.go
@@ -166,18 +166,21 @@
 	}
 }
 
-// maybeEject ejects a target that fails much more than the others do.
-func (s *service) maybeEject(now time.Time, t *target) {
+// maybeEject ejects a target that fails much more than the others do, and
+// returns for how long, 0 if it does not.
+func (s *service) maybeEject(now time.Time, t *target) time.Duration {
 	if t.fails < ejectFails || t.ejected(now) || s.countEjected(now) >= s.maxEjected() {
-		return
+		return 0
 	}
 	if s.otherFails(t) > t.fails/2 {
-		return
+		return 0
 	}
-	t.until = now.Add(min(maxEjection, firstEjection<<min(t.ejections, 10)))
+	lasts := min(maxEjection, firstEjection<<min(t.ejections, 10))
+	t.until = now.Add(lasts)
 	s.until = later(s.until, t.until)
 	t.ejections++
 	t.fails = ejectFails
+	return lasts
 }
 
 func (s *service) maxEjected() int { return int(maxEjectedPart * float64(s.open)) }
