--- /dev/null
+++ b/internal/state/sqcatalog/catalog_test.go
@@ -0,0 +1,147 @@
+package sqcatalog
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
+)
+
+// TestPartsKeepToTheirWeights has every span of a hundred requests hold the
+// weights, also across a change of another route.
+func TestPartsKeepToTheirWeights(t *testing.T) {
+	parts := []Part{{"a", 75}, {"b", 20}, {"c", 5}}
+	b := Builder{Version: 1, Routes: []Route{{Host: "h", Prefix: "/", Timeout: time.Second, Parts: parts}}}
+	c := b.Build(nil)
+	var got []sqid.ServiceID
+	for n := range 1000 {
+		if n == 500 {
+			b.Version = 2
+			b.Routes = append([]Route{{Host: "h", Prefix: "/new/", Timeout: time.Second, Parts: parts[:1]}}, Route{Host: "h", Prefix: "/", Timeout: time.Second, Parts: parts})
+			c = b.Build(c)
+		}
+		r, ok := c.Match("h", "/x")
+		qt.Assert(t, ok, qt.IsTrue)
+		got = append(got, r.Choose())
+	}
+	for from := 0; from+100 <= len(got); from++ {
+		count := make(map[sqid.ServiceID]int)
+		for _, s := range got[from : from+100] {
+			count[s]++
+		}
+		qt.Assert(t, count, qt.DeepEquals, map[sqid.ServiceID]int{"a": 75, "b": 20, "c": 5}, qt.Commentf("from %d", from))
+	}
+}
+
+// parseNumber reads a record that is nothing but its version.
+func parseNumber(record []byte, _ *Catalog) (*Catalog, error) {
+	if len(record) != 1 || record[0] < '1' || record[0] > '9' {
+		return nil, errors.New("no version")
+	}
+	return Builder{Version: Version(record[0] - '0')}.Build(nil), nil
+}
+
+// TestHolderNeverGoesBack has records come late, twice, unreadable, and from
+// several sides at once.
+func TestHolderNeverGoesBack(t *testing.T) {
+	var published []Version
+	h := &Holder{Parse: parseNumber, Logger: logr.Discard(), Publish: func(v Version, _ []byte) { published = append(published, v) }}
+	qt.Assert(t, h.Catalog(), qt.IsNil)
+	for _, record := range []string{"3", "2", "3", "", "x", "5", "4"} {
+		h.Apply([]byte(record), "test")
+	}
+	qt.Assert(t, h.Catalog().Version, qt.Equals, Version(5))
+	qt.Assert(t, published, qt.DeepEquals, []Version{3, 5})
+
+	h = &Holder{Parse: parseNumber, Logger: logr.Discard()}
+	var wg sync.WaitGroup
+	var newest atomic.Int64
+	for _, record := range []string{"1", "2", "3", "4", "5", "6", "7", "8", "9"} {
+		wg.Go(func() {
+			h.Apply([]byte(record), "test")
+			v := int64(h.Catalog().Version)
+			for last := newest.Load(); v > last && !newest.CompareAndSwap(last, v); last = newest.Load() {
+			}
+		})
+	}
+	wg.Wait()
+	qt.Assert(t, h.Catalog().Version, qt.Equals, Version(9))
+}
+
+// TestHolderPublishesOutsideItsLock has the published record come back at once,
+// as the membership does with a fact of this daemon's own.
+func TestHolderPublishesOutsideItsLock(t *testing.T) {
+	h := &Holder{Parse: parseNumber, Logger: logr.Discard()}
+	h.Publish = func(_ Version, record []byte) { h.Apply(record, "peer") }
+	done := make(chan struct{})
+	go func() {
+		h.Apply([]byte("1"), "store")
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the holder waits for itself")
+	}
+}
+
+// deafStore has a record whose watches hear nothing.
+type deafStore struct {
+	sqkv.Store
+	record atomic.Value
+	gets   atomic.Int64
+}
+
+func (s *deafStore) Get(_ context.Context, key string) (sqkv.Record, error) {
+	s.gets.Add(1)
+	return sqkv.Record{Key: key, Value: []byte(s.record.Load().(string))}, nil
+}
+
+func (s *deafStore) List(ctx context.Context, key string) ([]sqkv.Record, sqkv.Version, error) {
+	r, err := s.Get(ctx, key)
+	return []sqkv.Record{r}, 1, err
+}
+
+func (s *deafStore) Watch(ctx context.Context, _ string, _ sqkv.Version, _ func(sqkv.Event) error) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestPollsWhileWatchesHearNothing has the store drop its history: watches hear
+// nothing for seconds, and the daemon that polls still has each change within
+// two, at no more than two calls a second.
+func TestPollsWhileWatchesHearNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := new(deafStore)
+		store.record.Store("1")
+		h := &Holder{Parse: parseNumber, Logger: logr.Discard()}
+		f := &Follower{
+			Store: store, Key: "k", Holder: h, Logger: logr.Discard(),
+			Watching: func() bool { return true }, Polling: func() bool { return true },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- f.Run(ctx) }()
+		for v := Version(2); v <= 6; v++ {
+			time.Sleep(3 * time.Second)
+			store.record.Store(string([]byte{'0' + byte(v)}))
+			changed := time.Now()
+			for h.Catalog().Version < v {
+				time.Sleep(10 * time.Millisecond)
+				qt.Assert(t, time.Since(changed) < 2*time.Second, qt.IsTrue, qt.Commentf("version %d", v))
+			}
+		}
+		qt.Assert(t, store.gets.Load() <= 40, qt.IsTrue, qt.Commentf("%d calls", store.gets.Load()))
+		cancel()
+		qt.Assert(t, <-done, qt.IsNil)
+	})
+}
--- a/internal/state/sqlists/check.go
+++ b/internal/state/sqlists/check.go
@@ -135,6 +135,9 @@
 	if u, err := url.ParseRequestURI(path); err != nil || u.RawQuery != "" || strings.ContainsAny(path, "?#") {
 		return fmt.Sprintf("%q is no path without a query", path)
 	}
+	if strings.Contains(path, "*") {
+		return fmt.Sprintf("%q has a \"*\": a path is a prefix, there are no patterns", path)
+	}
 	if hasDotSegment(path) {
 		return fmt.Sprintf("%q has a segment \".\" or \"..\"", path)
 	}
