--- a/internal/edge/sqpeer/pool.go
+++ b/internal/edge/sqpeer/pool.go
@@ -20,7 +20,10 @@
 	reconnectDelay   = 50 * time.Millisecond
 	reconnectMax     = time.Second
 	keepaliveTime    = 10 * time.Second
-	keepaliveTimeout = 2 * time.Second
+	// keepaliveTimeout is also the time without an acknowledgement after which
+	// TCP gives a connection up: a peer that is dark is noticed after it, and three
+	// packets lost in a row between regions are not taken for that.
+	keepaliveTimeout = time.Second
 	windowBytes      = 1 << 20
 	// streamWorkers run streams without a new goroutine's stack for each.
 	streamWorkers = 32
