--- a/internal/edge/sqpeer/pool.go
+++ b/internal/edge/sqpeer/pool.go
@@ -15,11 +15,11 @@
 )
 
 const (
-	idleTimeout      = 2 * time.Minute
-	connectTimeout   = time.Second
-	reconnectDelay   = 50 * time.Millisecond
-	reconnectMax     = time.Second
-	keepaliveTime    = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	connectTimeout = time.Second
+	reconnectDelay = 50 * time.Millisecond
+	reconnectMax   = time.Second
+	keepaliveTime  = 10 * time.Second
 	// keepaliveTimeout is also the time without an acknowledgement after which
 	// TCP gives a connection up: a peer that is dark is noticed after it, and three
 	// packets lost in a row between regions are not taken for that.
