--- a/internal/base/sqsettings/check.go
+++ b/internal/base/sqsettings/check.go
@@ -161,7 +161,6 @@
 	add("platform.targetAddress", checkAddress(p.TargetAddress))
 	add("platform.announceEvery", checkPositive(p.AnnounceEvery))
 	add("platform.retry.window", checkPositive(p.Retry.Window))
-	add("platform.store.leaseLeast", checkNotNegative(p.Store.LeaseLeast))
 	if p.Service == "" {
 		add("platform.service", errors.New("is required"))
 	}
--- a/internal/base/sqsettings/settings.go
+++ b/internal/base/sqsettings/settings.go
@@ -80,21 +80,12 @@
 	AnnounceEvery Span `toml:"announceEvery"`
 	// DataCentres maps every data centre to its region.
 	DataCentres map[sqid.DataCentreID]sqid.RegionID `toml:"dataCentres"`
-	Store       Store                               `toml:"store"`
 	Retry       Retry                               `toml:"retry"`
 	// MaxWatchers is the size of a fleet up to which every daemon watches the
 	// store by itself.
 	MaxWatchers int `toml:"maxWatchers"`
 }
 
-// Store are the bounds of the platform's store.
-type Store struct {
-	ReadsPerSecond  int  `toml:"readsPerSecond"`
-	WritesPerSecond int  `toml:"writesPerSecond"`
-	LeaseLeast      Span `toml:"leaseLeast"`
-	ValueBytes      int  `toml:"valueBytes"`
-}
-
 // Retry bounds the attempts beyond the first, for each service over the fleet.
 type Retry struct {
 	// Ratio is their part of the requests of a window, Slack a number beside it.
--- a/internal/edge/sqgate/targets.go
+++ b/internal/edge/sqgate/targets.go
@@ -39,8 +39,6 @@
 	// announcements within a life; both are 0 where targets tell neither.
 	Incarnation sqid.Incarnation
 	Sequence    uint64
-	// ColdUntil is when the target says that it will have warmed up.
-	ColdUntil time.Time
 	// Announced is the time of the last announcement.
 	Announced time.Time
 
@@ -116,9 +114,6 @@
 		if changed && !l.Draining {
 			l.door.resize(now, l.Slots)
 		}
-		if cold, ok := l.door.admission.(interface{ Cold(until time.Time) }); ok {
-			cold.Cold(l.ColdUntil)
-		}
 		l.Announced = now
 		return l, true
 	})
