--- a/internal/edge/sqdaemon/path_test.go
+++ b/internal/edge/sqdaemon/path_test.go
@@ -60,6 +60,7 @@
 	targets *sqgate.Targets
 	gate    *sqgate.Gate
 	router  *sqentry.Router
+	entry   *sqentry.Entry
 }
 
 // fleet is a few nodes that know each other's targets.
@@ -92,6 +93,7 @@
 		Daemon: name, Lists: f.lists, Router: n.router, Gate: n.gate, Conns: pool, Calls: calls,
 		Charger: openCharger{}, Operations: noOperations{}, Metrics: f.metric, Decisions: &sqlog.Decisions{Logger: logr.Discard()}, Suspect: func(sqid.DaemonID) {}, Stopping: func() bool { return false },
 	}
+	n.entry = entry
 	server := sqpeer.NewServer()
 	(&sqgate.Server{Gate: n.gate}).Register(server)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
