--- a/internal/edge/sqdaemon/adapted.go
+++ b/internal/edge/sqdaemon/adapted.go
@@ -164,6 +164,19 @@
 	otherRegion
 )
 
+// fleetSize returns the number of members of the fleet, as parts are made for. It
+// is asked at each attempt beyond the first, so it builds no list.
+func (d *Daemon) fleetSize() int {
+	n := 0
+	d.member.Each(func(r sqmember.Row) bool {
+		if r.State != sqmember.Left {
+			n++
+		}
+		return true
+	})
+	return n
+}
+
 // purseMembers returns the members of the fleet in order of name.
 func (d *Daemon) purseMembers() []sqpurse.Member {
 	var members []sqpurse.Member
@@ -198,7 +211,7 @@
 	d.entry.Router.Bound = sqretry.Bound{
 		Ratio: boundPart * r.Ratio, Window: time.Duration(r.Window), Slack: boundPart * float64(r.Slack),
 	}
-	d.entry.Router.Daemons = func() int { return len(d.purseMembers()) }
+	d.entry.Router.Daemons = d.fleetSize
 }
 
 func (d *Daemon) adaptedHandlers() (callers, local, admin http.Handler) {
--- a/internal/edge/sqgate/gate.go
+++ b/internal/edge/sqgate/gate.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -16,7 +15,6 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqmetric"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqreason"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
-	"github.com/sequoiatack/sequoiatack/internal/edge/sqconn"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqadmit"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
@@ -44,10 +42,6 @@
 	Speech Speech
 }
 
-type sender interface {
-	Do(ctx context.Context, address string, r *sqconn.Request) (*http.Response, error)
-}
-
 func (g *Gate) speech() Speech {
 	if g.Speech == nil {
 		return Native{}
--- a/internal/edge/sqgate/speech.go
+++ b/internal/edge/sqgate/speech.go
@@ -1,6 +1,7 @@
 package sqgate
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -47,7 +48,7 @@
 
 // Conns sends requests to targets; sqconn.Pool does.
 type Conns interface {
-	sender
+	Do(ctx context.Context, address string, r *sqconn.Request) (*http.Response, error)
 	Tick(now time.Time)
 	Forget(address string)
 }
--- a/internal/edge/sqpurse/purse.go
+++ b/internal/edge/sqpurse/purse.go
@@ -151,7 +151,9 @@
 		a = &account{lenders: make(map[sqid.DaemonID]lender)}
 		if p.accounts == nil {
 			p.accounts = make(map[sqid.WorkspaceID]*account)
-			p.members = firstMembers(p.members, p.Members)
+			if p.members == nil {
+				p.members = p.Members()
+			}
 		}
 		p.accounts[w] = a
 		p.size(w, a, plan, now)
@@ -162,14 +164,6 @@
 	return a
 }
 
-// firstMembers returns the members if they are known, and asks for them else.
-func firstMembers(known []Member, ask func() []Member) []Member {
-	if known != nil {
-		return known
-	}
-	return ask()
-}
-
 // size sets the daemon's part and the other holders of a workspace.
 func (p *Purse) size(w sqid.WorkspaceID, a *account, plan sqlimit.Capacity, now time.Time) {
 	a.plan = plan
