Find all daemons of a restarted fleet through the one that the store serves

A daemon missing in its record can't be found by anybody when only another one reaches the store. - Two daemons of one data centre that a third one of another had found did not know each other until anti-entropy, 2 s later. The catalog then reached one of them only.

Change: joins go on without doubling for 2 s after the first contact. A daemon that is alone waits a second for the peers of the record before it adds itself. A newly found daemon of another data centre is made known to two of its neighbours.

--- a/internal/edge/sqgossip/seedrecords.go
+++ b/internal/edge/sqgossip/seedrecords.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,7 +27,14 @@
 	// maxSeedPeers bounds the addresses in a record.
 	maxSeedPeers = 8
 	// checkPeriod is the time between two checks of the record against the membership.
-	checkPeriod = time.Second
+	checkPeriod = 400 * time.Millisecond
+	// maxFirstCheck is the longest time until the first check, and until the next one
+	// after another daemon wrote first. It is random, so that of the daemons of a data
+	// centre that start together few write the same record.
+	maxFirstCheck = 300 * time.Millisecond
+	// aloneGrace is the time for which a daemon that knows no other only tries to join
+	// the peers that the record names, before it adds itself to them.
+	aloneGrace = time.Second
 	// refreshPeriod is the time between two reads of a record that need not change.
 	refreshPeriod = 60 * time.Second
 	// retryPeriod is the time between two attempts while the platform is unavailable.
@@ -48,12 +57,18 @@
 	Store  SeedStore
 	Logger logr.Logger
 
+	// mu guards record, version and failed.
+	mu sync.Mutex
 	// record and version are the data centre's record as last read or written. A
 	// version of 0 means that there is none, or that the last update failed.
 	record  seedRecord
 	version sqkv.Version
+	// failed is set if the platform did not answer the last update.
+	failed bool
 	// nextRead is when the record is read again even if it needs no change.
 	nextRead time.Time
+	// aloneSince is when the daemon was first found to know no other.
+	aloneSince time.Time
 	// fleetSize is the number of daemons in all records as last read.
 	fleetSize atomic.Int64
 }
@@ -135,79 +150,122 @@
 	return peers, nil
 }
 
+// Settled reports whether the data centre's record needs no change that this daemon could
+// make: after a restart of the fleet, a daemon that can't reach the platform can only be
+// found by its address there.
+func (s *SeedRecords) Settled() bool {
+	if !s.Member.IsWatcher() {
+		return true
+	}
+	s.mu.Lock()
+	record, version, failed := s.record, s.version, s.failed
+	s.mu.Unlock()
+	_, change := s.plan(record)
+	return failed || version != 0 && !change
+}
+
 // Run maintains the data centre's record until ctx ends. It always returns nil.
 func (s *SeedRecords) Run(ctx context.Context) error {
+	wait := rand.N(maxFirstCheck)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(jittered(checkPeriod)):
-			s.check(ctx, time.Now())
+		case <-time.After(wait):
+			wait = jittered(checkPeriod)
+			if s.check(ctx, time.Now()) {
+				wait = rand.N(maxFirstCheck)
+			}
 		}
 	}
 }
 
 // check reads the record if a read is due or the record as last read needs a change,
-// and writes it if it still needs one.
-func (s *SeedRecords) check(ctx context.Context, now time.Time) {
+// and writes it if it still needs one. It reports whether another daemon wrote first.
+func (s *SeedRecords) check(ctx context.Context, now time.Time) (conflict bool) {
 	if !s.Member.IsWatcher() {
 		s.nextRead = time.Time{}
-		return
+		return false
 	}
-	if _, change := s.plan(); now.Before(s.nextRead) && (!change || s.version == 0) {
-		return
+	switch {
+	case !s.Member.Alone():
+		s.aloneSince = time.Time{}
+	case s.aloneSince.IsZero():
+		s.aloneSince = now
+	}
+	s.mu.Lock()
+	record, version := s.record, s.version
+	s.mu.Unlock()
+	if _, change := s.plan(record); now.Before(s.nextRead) && (!change || version == 0) {
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, seedsTimeout)
 	defer cancel()
 	s.nextRead = now.Add(jittered(refreshPeriod))
-	if err := s.update(ctx); err != nil {
-		s.version = 0
+	err := s.update(ctx, now)
+	if errors.Is(err, sqkv.ErrConflict) {
+		s.nextRead = time.Time{}
+		return true
+	}
+	s.mu.Lock()
+	s.failed = err != nil
+	s.mu.Unlock()
+	if err != nil {
+		s.hold(seedRecord{}, 0)
 		s.nextRead = now.Add(jittered(retryPeriod))
 		s.Logger.Info("updating the seed record failed", "error", err.Error())
 	}
+	return false
+}
+
+// hold sets the record as last read or written.
+func (s *SeedRecords) hold(record seedRecord, version sqkv.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record, s.version = record, version
 }
 
 // update reads the record and writes it if it must change.
-func (s *SeedRecords) update(ctx context.Context) error {
+func (s *SeedRecords) update(ctx context.Context, now time.Time) error {
 	key := SeedPrefix + string(s.dataCentre())
 	r, err := s.Store.Get(ctx, key)
 	if err != nil {
 		return errors.Wrap(err, "read")
 	}
-	s.record, s.version = parseSeeds(r.Value), r.Version
-	record, change := s.plan()
+	held := parseSeeds(r.Value)
+	s.hold(held, r.Version)
+	record, change := s.plan(held)
 	if !change {
 		return nil
 	}
+	if len(held.Peers) > 0 && !s.aloneSince.IsZero() && now.Sub(s.aloneSince) < aloneGrace {
+		s.nextRead = s.aloneSince.Add(aloneGrace)
+		return nil
+	}
 	value, err := json.Marshal(record)
 	if err != nil {
 		return errors.Wrap(err, "encode")
 	}
 	version, err := s.Store.Swap(ctx, key, r.Version, value, 0)
-	if errors.Is(err, sqkv.ErrConflict) {
-		// The other watcher wrote first; the next check reads its record.
-		s.nextRead = time.Time{}
-		return nil
-	}
 	if err != nil {
 		return errors.Wrap(err, "write")
 	}
-	s.record, s.version = record, version
+	s.hold(record, version)
 	return nil
 }
 
-// plan returns what the record should hold, and whether it must change.
-func (s *SeedRecords) plan() (seedRecord, bool) {
+// plan returns what the record should hold, and whether it must change from held.
+func (s *SeedRecords) plan(held seedRecord) (seedRecord, bool) {
 	if s.Member.Alone() {
-		peers, change := planAlone(s.record.Peers, s.Member.Self().PeerAddress)
-		return seedRecord{Peers: peers, Members: max(s.record.Members, len(peers))}, change
+		peers, change := planAlone(held.Peers, s.Member.Self().PeerAddress)
+		return seedRecord{Peers: peers, Members: max(held.Members, len(peers))}, change
 	}
 	var alive []string
 	for _, r := range s.Member.Alive(s.dataCentre()) {
 		alive = append(alive, r.PeerAddress)
 	}
-	peers, change := planSeeds(s.record.Peers, alive)
-	return seedRecord{Peers: peers, Members: len(alive)}, change || outdated(s.record.Members, len(alive))
+	peers, change := planSeeds(held.Peers, alive)
+	return seedRecord{Peers: peers, Members: len(alive)}, change || outdated(held.Members, len(alive))
 }
 
 // The number of daemons in a record is updated when it differs from the actual number
--- a/internal/edge/sqgossip/seedrecords_test.go
+++ b/internal/edge/sqgossip/seedrecords_test.go
@@ -141,3 +141,21 @@
 	refused := startWith(c, "a2", "a", unavailable.Platform(), reader.Address)
 	eventually(c, "the fleet size is known", func() bool { return refused.seedRecords.FleetSize() >= 40 })
 }
+
+// TestSettledOnceRecordListsDaemons starts two daemons of one data centre at once. Each
+// counts its record as settled only when it lists both, which takes less than the time of
+// one check after the other.
+func TestSettledOnceRecordListsDaemons(t *testing.T) {
+	c := qt.New(t)
+	var store sqstore.Store
+	peers := []*peer{startWith(c, "a1", "a", store.Platform()), startWith(c, "a2", "a", store.Platform())}
+	began := time.Now()
+	for _, p := range peers {
+		eventually(c, "the other daemon is known", func() bool { return len(p.Member.Alive("a")) == len(peers) })
+		eventually(c, "the record is settled", p.seedRecords.Settled)
+		r, err := store.Platform().Get(t.Context(), SeedPrefix+"a")
+		c.Assert(err, qt.IsNil)
+		c.Assert(parseSeeds(r.Value).Peers, qt.HasLen, len(peers))
+	}
+	c.Assert(time.Since(began) <= 2*time.Second, qt.IsTrue, qt.Commentf("took %v", time.Since(began)))
+}
--- a/internal/edge/sqgossip/seeds.go
+++ b/internal/edge/sqgossip/seeds.go
@@ -13,6 +13,11 @@
 	// maxAloneWait is the limit for a daemon that knows no other: a fleet that was
 	// restarted while the platform was unavailable must serve within 2 s of its return.
 	maxAloneWait = 500 * time.Millisecond
+	// foundTime is the time after it has found the first other daemon in which a daemon
+	// joins the remaining seeds without the doubling. The daemons behind them may have no
+	// way to find each other: after a restart of the fleet the platform may serve only
+	// this daemon.
+	foundTime = 2 * time.Second
 	// healPeriod is the limit for a daemon that knows others: its later attempts find
 	// daemons that a network partition has separated from it.
 	healPeriod = 60 * time.Second
@@ -38,29 +43,45 @@
 }
 
 // joinSeeds joins the seeds at which no live daemon is known, until ctx ends. It does so
-// often at first, while the daemon knows no other, and just after it has found the
-// first other daemon, and rarely later.
+// often at first, while the daemon knows no other, and until foundTime after it has found
+// the first other daemon, and rarely later.
 func (t *Transport) joinSeeds(ctx context.Context) error {
-	wait, wasAlone := initialWait, true
+	var pace joinPace
 	for {
 		t.joinUnknown(ctx)
-		maxWait, alone := healPeriod, t.Member.Alone()
-		switch {
-		case alone:
-			maxWait = maxAloneWait
-		case wasAlone:
-			wait = initialWait
-		}
-		wasAlone = alone
-		wait = min(2*wait, maxWait)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(jittered(wait)):
+		case <-time.After(jittered(pace.next(time.Now(), t.Member.Alone()))):
 		}
 	}
 }
 
+// joinPace is the time between two attempts to join seeds.
+type joinPace struct {
+	wait time.Duration
+	// foundAt is when the first other daemon was found; zero while the daemon is alone.
+	foundAt time.Time
+}
+
+// next returns the time until the next attempt.
+func (p *joinPace) next(now time.Time, alone bool) time.Duration {
+	switch {
+	case alone:
+		p.foundAt = time.Time{}
+		p.wait = min(2*max(p.wait, initialWait), maxAloneWait)
+		return p.wait
+	case p.foundAt.IsZero():
+		p.foundAt = now
+	}
+	if now.Sub(p.foundAt) < foundTime {
+		p.wait = initialWait
+		return p.wait
+	}
+	p.wait = min(2*p.wait, healPeriod)
+	return p.wait
+}
+
 func (t *Transport) joinUnknown(ctx context.Context) {
 	joinCtx, cancel := context.WithTimeout(ctx, seedsTimeout)
 	defer cancel()
--- a/internal/edge/sqgossip/transport_test.go
+++ b/internal/edge/sqgossip/transport_test.go
@@ -146,6 +146,49 @@
 	}))
 }
 
+// TestOneDaemonServesRestartedFleet gives the seed addresses of a fleet that was
+// restarted, and a fact, to one daemon alone, as when the platform serves only that one.
+// All daemons must hold the fact within 2 s.
+func TestOneDaemonServesRestartedFleet(t *testing.T) {
+	c := qt.New(t)
+	var peers []*peer
+	var seeds []string
+	for i := range 14 {
+		dc := string(rune('a' + i%3))
+		p := start(c, fmt.Sprintf("%s%d", dc, i), dc)
+		peers, seeds = append(peers, p), append(seeds, p.Address)
+	}
+	began := time.Now()
+	served := start(c, "c9", "c", seeds...)
+	_, err := served.Member.Publish("catalog", 1, []byte("body"))
+	c.Assert(err, qt.IsNil)
+	eventually(c, "all daemons hold the fact", func() bool {
+		for _, p := range peers {
+			if version, _ := p.Member.Fact("catalog"); version != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	took := time.Since(began)
+	c.Assert(took <= 2*time.Second, qt.IsTrue, qt.Commentf("took %v", took))
+}
+
+// TestFoundDaemonsKnowTheirNeighbours restarts two data centres, one of which has a single
+// daemon that finds the others. The daemons of the other one must know each other within a
+// second, before anti-entropy repairs what they don't know.
+func TestFoundDaemonsKnowTheirNeighbours(t *testing.T) {
+	c := qt.New(t)
+	others := []*peer{start(c, "b1", "b"), start(c, "b2", "b"), start(c, "b3", "b")}
+	began := time.Now()
+	start(c, "a1", "a", others[0].Address, others[1].Address, others[2].Address)
+	for _, p := range others {
+		eventually(c, "the data centre is known", func() bool { return len(p.Member.Alive("b")) == len(others) })
+	}
+	took := time.Since(began)
+	c.Assert(took <= time.Second, qt.IsTrue, qt.Commentf("took %v", took))
+}
+
 func TestAddressInUse(t *testing.T) {
 	c := qt.New(t)
 	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
--- a/internal/state/sqmember/antientropy.go
+++ b/internal/state/sqmember/antientropy.go
@@ -21,6 +21,9 @@
 	// are too many for gossip: none is, and anti-entropy repairs the other
 	// daemons.
 	maxGossipedRows = 64
+	// introductions is the number of daemons to which a daemon that was just found
+	// is made known.
+	introductions = 2
 	// maxPushedRows bounds the rows of one message.
 	maxPushedRows = 400
 	// settledUnit is the unit of a digest's age on the wire, and maxSettled the
@@ -208,6 +211,10 @@
 
 func (m *Member) exchanged(address string, reply *sqmemberwire.ExchangeReply) {
 	src := source{daemon: sqid.DaemonID(reply.GetFrom()), address: address}
+	_, known := m.rows.Get(src.daemon)
+	if !known {
+		defer m.introduce(src.daemon)
+	}
 	theirs := make(map[string]Row, len(reply.GetRows()))
 	for _, w := range reply.GetRows() {
 		theirs[w.GetDaemon()] = rowFromWire(w)
@@ -233,3 +240,23 @@
 		m.outbox = append(m.outbox, Message{Address: address, Exchange: req})
 	}
 }
+
+// introduce sends the row of a daemon that this one has just found to daemons of its data
+// centre. After a restart of the fleet these may know only this daemon, and gossip of
+// their data centre can't reach the new one.
+func (m *Member) introduce(id sqid.DaemonID) {
+	r, ok := m.rows.Get(id)
+	if !ok || !r.live() || r.DataCentre == m.self.DataCentre {
+		return
+	}
+	introduced := 0
+	for _, other := range m.view.ranked(r.DataCentre) {
+		o, ok := m.rows.Get(other)
+		if !ok || o.State != Alive || other == id || introduced == introductions {
+			continue
+		}
+		introduced++
+		req := &sqmemberwire.ExchangeRequest{Fleet: m.fleetHash, From: string(m.self.ID), Rows: []*sqmemberwire.Row{r.wire()}}
+		m.outbox = append(m.outbox, Message{Address: o.PeerAddress, Exchange: req})
+	}
+}
