Rate limiter: few holders, an agent in each region, waits instead of empty answers

Change: holders are spread over the regions; a plan that can't give every daemon 4 tokens has one holder for each 16. In a region without a holder, an agent borrows for the others: its connections stay open, and only it crosses to the other region. Holders and agents make another daemon wait up to 100 and 150 ms for a token that is due instead of answering with none, in order of arrival; they borrow for those that wait. A lender of another region has 250 ms to answer. Several rounds may be in progress; lenders of other regions are asked at once. Each lot of borrowed tokens expires by itself (a loan renewed the time of all before). Retry-After is the time of the next token as holders tell it, spread. BorrowRequest gains the field holder; daemons of the build before ignore it.

--- a/internal/edge/sqdaemon/adapter.go
+++ b/internal/edge/sqdaemon/adapter.go
@@ -22,6 +22,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqlimiter"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqretry"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqshare"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqcall"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqcatalog"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqkv"
@@ -190,7 +191,10 @@
 		if r.State == sqmember.Left {
 			return true
 		}
-		m := sqlimiter.Member{ID: r.ID, Address: r.PeerAddress, Distance: otherRegion, Alive: r.State <= sqmember.Suspect}
+		m := sqlimiter.Member{
+			Member: sqshare.Member{ID: r.ID, Region: r.Region}, Address: r.PeerAddress,
+			Distance: otherRegion, Near: r.Region == s.Region, Alive: r.State <= sqmember.Suspect,
+		}
 		switch {
 		case r.DataCentre == s.DataCentre:
 			m.Distance = sameDataCentre
--- a/internal/edge/sqlimiter/borrow.go
+++ b/internal/edge/sqlimiter/borrow.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"iter"
+	"math"
+	"sync"
 	"time"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
@@ -16,14 +19,18 @@
 type account struct {
 	sqshare.Account
 	plan sqlimit.Capacity
-	// holders are the other holders that are alive, nearest first.
-	holders  []Member
-	lastUsed time.Time
-	// waiting is the number of requests that wait for the current round.
+	// near are the other holders and the agent of the own region that are alive, far the
+	// holders of other regions, nearest first.
+	near, far []Member
+	lastUsed  time.Time
+	// waiting is the number of tokens that requests wait for.
 	waiting int
-	// round is closed at the end of the current borrowing round; nil if there is
-	// none.
-	round chan struct{}
+	// rounds is the number of borrowing rounds in progress, pending the tokens that they
+	// ask for.
+	rounds  int
+	pending squnit.Tokens
+	// changed is closed, and replaced, when tokens arrive or a round ends.
+	changed chan struct{}
 	// lastBorrowed is when any holder last lent tokens.
 	lastBorrowed time.Time
 	// emptyRounds is the number of rounds in a row that brought no tokens. No round
@@ -41,97 +48,176 @@
 	skipUntil time.Time
 	misses    int
 	lastLent  time.Time
+	// nextToken is when the holder expects a token to spare.
+	nextToken time.Time
 }
 
-// joinRound returns the current borrowing round, or starts one; nil if no holder is
-// worth asking now. mu is held.
-func (l *Limiter) joinRound(w sqid.WorkspaceID, a *account, now time.Time) chan struct{} {
-	if a.round != nil {
-		return a.round
+// startRound starts a borrowing round if one is needed and any lender is worth asking
+// now, and reports whether one is in progress. mu is held.
+func (l *Limiter) startRound(w sqid.WorkspaceID, a *account, now time.Time) bool {
+	want := a.TokensToBorrow(now, a.waiting) - a.pending
+	if want <= 0 || a.rounds >= maxRounds || now.Before(a.pausedUntil) {
+		return a.rounds > 0
 	}
-	if now.Before(a.pausedUntil) {
-		return nil
-	}
-	from := l.holdersToAsk(a, now)
+	from := l.lendersToAsk(a, want, now)
 	if len(from) == 0 {
-		return nil
+		return a.rounds > 0
+	}
+	a.rounds++
+	a.pending += want
+	go l.runRound(w, a, from, want)
+	return true
+}
+
+// notify wakes the requests that wait for tokens. mu is held.
+func (a *account) notify() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// each yields the daemons to borrow from.
+func (a *account) each() iter.Seq[Member] {
+	return func(yield func(Member) bool) {
+		for _, lenders := range [][]Member{a.near, a.far} {
+			for _, m := range lenders {
+				if !yield(m) {
+					return
+				}
+			}
+		}
 	}
-	round := make(chan struct{})
-	a.round = round
-	go l.runRound(w, a, from, round)
-	return round
 }
 
-// holdersToAsk returns the holders to ask in one round: first those that have lent
-// tokens recently, then the nearest.
-func (l *Limiter) holdersToAsk(a *account, now time.Time) []Member {
-	var from, others []Member
-	for _, m := range a.holders {
+// lendersToAsk returns the daemons to ask in one round: first those that have lent tokens
+// recently, then the nearest. Those of other regions are asked by holders and agents, and
+// by the other daemons only if no daemon of their own region answers or has tokens.
+func (l *Limiter) lendersToAsk(a *account, want squnit.Tokens, now time.Time) []Member {
+	most := max(maxAsksPerRound, int(math.Ceil(float64(want)/tokensPerAsk)))
+	near, nearWorks := l.usable(a, a.near, most, now)
+	if nearWorks && !a.Lends() {
+		return near
+	}
+	far, _ := l.usable(a, a.far, most, now)
+	return append(near, far...)
+}
+
+// usable returns at most the given number of lenders that may be asked now, and whether
+// any lender is reachable and has tokens at times.
+func (l *Limiter) usable(a *account, lenders []Member, most int, now time.Time) (usable []Member, works bool) {
+	var others []Member
+	for _, m := range lenders {
 		known := a.lenders[m.ID]
+		if now.Before(l.unreachable[m.ID]) {
+			continue
+		}
+		works = works || known.misses < maxDoublings
 		switch {
-		case now.Before(known.skipUntil) || now.Before(l.unreachable[m.ID]):
+		case now.Before(known.skipUntil):
 		case now.Sub(known.lastLent) < recentLoanAge:
-			from = append(from, m)
+			usable = append(usable, m)
 		default:
 			others = append(others, m)
 		}
 	}
-	from = append(from, others...)
-	return from[:min(len(from), maxAsksPerRound)]
+	usable = append(usable, others...)
+	return usable[:min(len(usable), most)], works
 }
 
-// runRound asks holders in turn until the waiting requests have their tokens.
-func (l *Limiter) runRound(w sqid.WorkspaceID, a *account, from []Member, round chan struct{}) {
-	start := time.Now()
+// nextAsk returns when the next lender may be asked.
+func (l *Limiter) nextAsk(a *account, now time.Time) time.Time {
+	next := now.Add(maxBackoff)
+	for m := range a.each() {
+		at := a.lenders[m.ID].skipUntil
+		if until := l.unreachable[m.ID]; until.After(at) {
+			at = until
+		}
+		if at.After(now) && at.Before(next) {
+			next = at
+		}
+	}
+	if a.pausedUntil.After(next) {
+		next = a.pausedUntil
+	}
+	return next
+}
+
+// runRound asks lenders for tokens: those of the own region in turn, then those of other
+// regions at once.
+func (l *Limiter) runRound(w sqid.WorkspaceID, a *account, from []Member, want squnit.Tokens) {
+	start, missing := time.Now(), want
+	var far []Member
 	for _, m := range from {
-		l.mu.Lock()
-		want := a.TokensToBorrow(time.Now(), a.waiting)
-		l.mu.Unlock()
-		if want <= 0 {
-			break
+		if !m.Near {
+			far = append(far, m)
+		} else if missing > 0 {
+			missing -= l.askOne(w, a, m, missing)
+		}
+	}
+	if missing > 0 && len(far) > 0 {
+		n := min(len(far), int(math.Ceil(float64(missing)/tokensPerAsk)))
+		part := squnit.Tokens(math.Ceil(float64(missing) / float64(n)))
+		var asks sync.WaitGroup
+		for _, m := range far[:n] {
+			asks.Go(func() { l.askOne(w, a, m, part) })
 		}
-		answer, err := l.borrow(m, w, want)
-		l.mu.Lock()
-		l.noteAnswer(a, m, want, answer, err)
-		l.mu.Unlock()
+		asks.Wait()
 	}
 	l.mu.Lock()
-	a.round = nil
+	defer l.mu.Unlock()
+	a.rounds--
+	a.pending -= want
 	a.endRound(time.Now(), start)
+	a.notify()
+}
+
+// askOne asks one lender for tokens, adds what it lends, and returns the number.
+func (l *Limiter) askOne(w sqid.WorkspaceID, a *account, m Member, want squnit.Tokens) squnit.Tokens {
+	l.mu.Lock()
+	isHolder := a.HasShare()
 	l.mu.Unlock()
-	close(round)
+	answer, err := l.borrow(m, w, want, isHolder)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.noteAnswer(a, m, want, answer, err)
 }
 
-// endRound pauses borrowing once every holder has been asked and none had tokens,
-// with a longer pause after each further empty round. While a workspace exceeds its
-// rate everywhere there are no tokens to borrow, and in a large fleet there is always
-// one more holder to ask.
+// endRound pauses borrowing once every lender, or those of maxEmptyRounds rounds, have been
+// asked and none had tokens, with a longer pause after each further empty round. While a workspace exceeds its rate
+// everywhere there are no tokens to borrow, and in a large fleet there is always one more
+// lender to ask.
 func (a *account) endRound(now, start time.Time) {
 	if !a.lastBorrowed.Before(start) {
 		a.emptyRounds = 0
 		return
 	}
+	if !a.HasShare() {
+		return
+	}
 	a.emptyRounds++
-	rounds := (len(a.holders) + maxAsksPerRound - 1) / maxAsksPerRound
-	if over := a.emptyRounds - rounds; over > 0 {
+	rounds := (len(a.near) + len(a.far) + maxAsksPerRound - 1) / maxAsksPerRound
+	if over := a.emptyRounds - min(rounds, maxEmptyRounds); over > 0 {
 		a.pausedUntil = now.Add(min(maxBackoff, minBackoff<<min(over, maxDoublings)))
 	}
 }
 
 // borrow asks one holder for tokens.
-func (l *Limiter) borrow(m Member, w sqid.WorkspaceID, want squnit.Tokens) (*sqpartwire.BorrowAnswer, error) {
+func (l *Limiter) borrow(m Member, w sqid.WorkspaceID, want squnit.Tokens, isHolder bool) (*sqpartwire.BorrowAnswer, error) {
 	conn, err := l.Conns.Conn(m.Address)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
+	timeout := farTimeout
+	if m.Near {
+		timeout = nearTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return sqpartwire.NewPartsClient(conn).Borrow(ctx, &sqpartwire.BorrowRequest{Workspace: string(w), Tokens: float64(want)})
+	return sqpartwire.NewPartsClient(conn).Borrow(ctx, &sqpartwire.BorrowRequest{Workspace: string(w), Tokens: float64(want), Holder: isHolder})
 }
 
 // noteAnswer adds the tokens that a holder has lent, and sets when it may be asked
 // again. mu is held.
-func (l *Limiter) noteAnswer(a *account, m Member, want squnit.Tokens, answer *sqpartwire.BorrowAnswer, err error) {
+func (l *Limiter) noteAnswer(a *account, m Member, want squnit.Tokens, answer *sqpartwire.BorrowAnswer, err error) squnit.Tokens {
 	now := time.Now()
 	if err != nil {
 		l.Logger.V(1).Info("holder of a share does not answer", "peer", m.ID, "error", err.Error())
@@ -139,21 +225,40 @@
 			l.unreachable = make(map[sqid.DaemonID]time.Time)
 		}
 		l.unreachable[m.ID] = now.Add(unreachableBackoff)
-		return
+		return 0
 	}
-	lent := min(want, squnit.Tokens(answer.GetTokens()))
+	lent := min(want, squnit.Tokens(max(0, answer.GetTokens())))
 	known := a.lenders[m.ID]
 	if lent > 0 {
 		a.Borrow(now, lent)
 		a.lastBorrowed, known = now, lender{lastLent: now}
+		a.notify()
 	}
-	if lent < want {
-		next := time.Duration(answer.GetNextUs()) * time.Microsecond
+	next := time.Duration(answer.GetNextUs()) * time.Microsecond
+	known.nextToken = now.Add(next)
+	switch {
+	case lent >= want:
+	case a.HasShare():
+		// Holders don't wait for each other's tokens.
 		known.skipUntil = now.Add(min(maxBackoff, max(minBackoff<<known.misses, next)))
 		known.misses = min(known.misses+1, maxDoublings)
+	case lent == 0:
+		known.skipUntil = now.Add(min(maxBackoff, max(minBackoff, next)))
+		known.misses = min(known.misses+1, maxDoublings)
 	}
 	a.lenders[m.ID] = known
+	return lent
 }
 
-// maxDoublings bounds the doublings of a backoff.
-const maxDoublings = 4
+const (
+	// maxDoublings bounds the doublings of a backoff.
+	maxDoublings = 4
+	// maxEmptyRounds is the number of rounds in a row without tokens that show that there
+	// are none in a fleet of any size.
+	maxEmptyRounds = 8
+	// maxRounds bounds the borrowing rounds of one workspace in progress.
+	maxRounds = 4
+	// tokensPerAsk is how many tokens one lender can be expected to have: for more, more
+	// lenders are asked.
+	tokensPerAsk = 4
+)
--- a/internal/edge/sqlimiter/limiter.go
+++ b/internal/edge/sqlimiter/limiter.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -26,18 +27,29 @@
 	// TickPeriod is the period at which the timer service should tick a Limiter. A
 	// change of members or plans takes effect within that time; both change seldom.
 	TickPeriod = 200 * time.Millisecond
-	// borrowTimeout bounds the wait for one holder: twice the round trip to another
-	// region.
-	borrowTimeout = 100 * time.Millisecond
-	// chargeTimeout bounds the wait of a request for a token.
-	chargeTimeout = 150 * time.Millisecond
-	// maxAsksPerRound bounds the holders that are asked in one borrowing round.
+	// nearTimeout bounds the wait for a holder of the same region, farTimeout for one of
+	// another region. A call that has to open its connection takes three round trips.
+	nearTimeout = 200 * time.Millisecond
+	farTimeout  = 250 * time.Millisecond
+	// holderTimeout and agentTimeout bound how long a holder and an agent make another
+	// daemon wait for a token. An agent waits for a holder of another region meanwhile.
+	holderTimeout = 100 * time.Millisecond
+	agentTimeout  = 150 * time.Millisecond
+	// maxAwaited bounds the tokens that are counted as awaited for one other daemon.
+	maxAwaited = 1000
+	// chargeTimeout bounds the wait of a request for a token. It covers a round with a
+	// connection to another region that has to be opened.
+	chargeTimeout = 200 * time.Millisecond
+	// maxAsksPerRound bounds the lenders that are asked for few tokens in one round.
 	maxAsksPerRound = 4
 	// minBackoff and maxBackoff bound how long a holder that lent less than was asked
 	// for is not asked again. The time doubles with each such answer, so that holders
 	// farther away are asked too.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// maxRetryAfter bounds the time after which a refused caller is told to come back. A
+	// caller has a few seconds in all, and holders' answers tell a shorter time if they can.
+	maxRetryAfter = time.Second
 	// recentLoanAge is how long a holder that has lent tokens is asked before others.
 	recentLoanAge = 500 * time.Millisecond
 	// unreachableBackoff is how long a holder that did not answer is not asked again.
@@ -51,10 +63,12 @@
 // records are dropped, since a daemon that is only partitioned may go on spending its
 // share.
 type Member struct {
-	ID      sqid.DaemonID
+	sqshare.Member
 	Address string
 	// Distance orders the members by distance, nearest first.
 	Distance int
+	// Near says that the daemon is in the same region.
+	Near bool
 	// Alive says that the daemon can be asked for tokens.
 	Alive bool
 }
@@ -130,7 +144,7 @@
 func (l *Limiter) account(w sqid.WorkspaceID, plan sqlimit.Capacity, now time.Time) *account {
 	a := l.accounts[w]
 	if a == nil {
-		a = &account{lenders: make(map[sqid.DaemonID]lender)}
+		a = &account{lenders: make(map[sqid.DaemonID]lender), changed: make(chan struct{})}
 		if l.accounts == nil {
 			l.accounts = make(map[sqid.WorkspaceID]*account)
 			if l.members == nil {
@@ -146,29 +160,36 @@
 	return a
 }
 
-// resize sets the daemon's share of a workspace's plan and the other holders to
-// borrow from, nearest first; those at the same distance are shuffled. mu is held.
+// resize sets the daemon's share of a workspace's plan and the daemons to borrow from,
+// nearest first; those at the same distance are shuffled. mu is held.
 func (l *Limiter) resize(w sqid.WorkspaceID, a *account, plan sqlimit.Capacity, now time.Time) {
 	a.plan = plan
-	ids := make([]sqid.DaemonID, len(l.members))
+	members := make([]sqshare.Member, len(l.members))
 	for i := range l.members {
-		ids[i] = l.members[i].ID
+		members[i] = l.members[i].Member
 	}
-	holders := sqshare.Holders(w, plan, ids)
-	a.holders = a.holders[:0]
-	shareCount := 0
+	roles := sqshare.RolesFor(w, plan, members)
+	a.near, a.far = a.near[:0], a.far[:0]
+	shareCount, lends := 0, false
 	for _, m := range l.members {
+		holds, isAgent := slices.Contains(roles.Holders, m.ID), slices.Contains(roles.Agents, m.ID)
 		switch {
-		case !slices.Contains(holders, m.ID):
 		case m.ID == l.Self:
-			shareCount = sqshare.ShareCount(len(holders), len(ids), l.minMembers)
-		case m.Alive:
-			a.holders = append(a.holders, m)
+			lends = holds || isAgent
+			if holds {
+				shareCount = sqshare.ShareCount(len(roles.Holders), len(members), l.minMembers)
+			}
+		case m.Alive && m.Near && (holds || isAgent):
+			a.near = append(a.near, m)
+		case m.Alive && holds:
+			a.far = append(a.far, m)
 		}
 	}
-	rand.Shuffle(len(a.holders), func(i, j int) { a.holders[i], a.holders[j] = a.holders[j], a.holders[i] })
-	slices.SortStableFunc(a.holders, func(x, y Member) int { return cmp.Compare(x.Distance, y.Distance) })
-	a.Resize(now, plan, shareCount)
+	for _, lenders := range [][]Member{a.near, a.far} {
+		rand.Shuffle(len(lenders), func(i, j int) { lenders[i], lenders[j] = lenders[j], lenders[i] })
+		slices.SortStableFunc(lenders, func(x, y Member) int { return cmp.Compare(x.Distance, y.Distance) })
+	}
+	a.Resize(now, plan, shareCount, lends)
 }
 
 // Charge spends one token of a workspace's rate, and reports whether the request is
@@ -185,61 +206,91 @@
 	defer l.mu.Unlock()
 	a := l.account(w, plan, now)
 	a.AddDemand(now)
-	if a.Spend(now) {
+	if a.waiting == 0 && a.Spend(now) {
 		if now.Sub(a.lastBorrowed) < recentLoanAge && a.TokensToBorrow(now, 0) > 0 {
 			// Other holders have tokens to spare. Borrow ahead for the next requests.
-			l.joinRound(w, a, now)
+			l.startRound(w, a, now)
 		}
 		return true, 0, nil
 	}
-	round := l.joinRound(w, a, now)
-	if round == nil {
-		return false, l.retryAfter(a, now), nil
+	if err := l.await(ctx, w, a, 1, chargeTimeout); err != nil {
+		return false, 0, err
+	}
+	now = time.Now()
+	if a.Spend(now) {
+		return true, 0, nil
 	}
-	return l.awaitRound(ctx, w, a, round)
+	return false, l.retryAfter(a, now), nil
 }
 
-// awaitRound waits for the end of a borrowing round and then spends a token. Until
-// chargeTimeout, a round that brought too few tokens is followed by another. mu is
-// held, except while it waits.
-func (l *Limiter) awaitRound(ctx context.Context, w sqid.WorkspaceID, a *account, round chan struct{}) (bool, time.Duration, error) {
-	timer := time.NewTimer(chargeTimeout)
-	defer timer.Stop()
-	a.waiting++
-	defer func() { a.waiting-- }()
-	for timedOut := false; ; {
-		l.mu.Unlock()
-		select {
-		case <-round:
-		case <-timer.C:
-			timedOut = true
-		case <-ctx.Done():
-		}
-		l.mu.Lock()
-		now := time.Now()
-		if err := ctx.Err(); err != nil {
-			return false, 0, err
-		}
-		if a.Spend(now) {
-			return true, 0, nil
+// await waits until the account has a token, for at most the given time; the error is
+// that of ctx if it ends meanwhile. n is the number of tokens wanted. It gives up at once
+// if neither the own share nor a lender will have a token in that time. mu is held, except
+// while it waits.
+func (l *Limiter) await(ctx context.Context, w sqid.WorkspaceID, a *account, n int, timeout time.Duration) error {
+	now := time.Now()
+	deadline := now.Add(timeout)
+	a.waiting += n
+	defer func() { a.waiting -= n }()
+	// The share's next tokens go to those who wait already.
+	turn := deadline
+	if next, ok := a.TimeUntil(now, squnit.Tokens(a.waiting)); ok && next < timeout {
+		turn = now.Add(next)
+	}
+	for {
+		asking, changed := l.startRound(w, a, now), a.changed
+		until := deadline
+		if turn.After(now) {
+			until = turn
 		}
-		if !timedOut {
-			round = l.joinRound(w, a, now)
+		if !asking {
+			if next := l.nextAsk(a, now); next.Before(until) {
+				until = next
+			} else if until.Equal(deadline) {
+				return ctx.Err()
+			}
 		}
-		if timedOut || round == nil {
-			return false, l.retryAfter(a, now), nil
+		l.mu.Unlock()
+		waitUntil(ctx, changed, until)
+		l.mu.Lock()
+		now = time.Now()
+		if err := ctx.Err(); err != nil || a.Has(now) || !now.Before(deadline) {
+			return err
 		}
 	}
 }
 
-// retryAfter returns the time until the daemon's own share has a token, at least
-// minBackoff and at most maxBackoff, after which other holders may have one.
-func (l *Limiter) retryAfter(a *account, now time.Time) time.Duration {
-	wait := maxBackoff
-	if next, ok := a.TimeUntilToken(now); ok {
+// waitUntil waits until changed is closed, and not longer than until.
+func waitUntil(ctx context.Context, changed chan struct{}, until time.Time) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// nextToken returns the time until the daemon's own share or that of another holder, as
+// last heard, has a token for one more request.
+func (l *Limiter) nextToken(a *account, now time.Time) time.Duration {
+	wait := maxRetryAfter
+	if next, ok := a.TimeUntil(now, squnit.Tokens(a.waiting+1)); ok {
 		wait = min(wait, next)
 	}
-	return max(minBackoff, wait)
+	for m := range a.each() {
+		if next := a.lenders[m.ID].nextToken; !next.IsZero() && !now.Before(l.unreachable[m.ID]) {
+			wait = min(wait, max(0, next.Sub(now)))
+		}
+	}
+	return wait
+}
+
+// retryAfter returns the time after which a refused caller should come back: that of the
+// next token, spread so that the callers of many daemons don't come back at once.
+func (l *Limiter) retryAfter(a *account, now time.Time) time.Duration {
+	wait := max(minBackoff, l.nextToken(a, now))
+	return wait + rand.N(wait/2+1)
 }
 
 // Return gives back the token that was spent on a request that has not run.
@@ -251,23 +302,35 @@
 	}
 }
 
-// lend takes up to want tokens from the daemon's own share for another daemon, and
-// returns their number and the time until the share has its next token.
-func (l *Limiter) lend(w sqid.WorkspaceID, want squnit.Tokens) (squnit.Tokens, time.Duration) {
+// lend takes up to want tokens for another daemon, and returns their number and the time
+// until this one has its next token. For a daemon without a share it waits for a token if
+// one is to be expected soon, and borrows from the other holders, so that tokens follow
+// demand.
+func (l *Limiter) lend(ctx context.Context, w sqid.WorkspaceID, want squnit.Tokens, toHolder bool) (squnit.Tokens, time.Duration) {
 	plan, limited := l.Plans.Plan(w)
 	if !limited {
 		return 0, maxBackoff
 	}
-	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
 	a := l.account(w, plan, now)
-	lent := a.Lend(now, want)
-	next, ok := a.TimeUntilToken(now)
-	if !ok {
-		next = maxBackoff
+	if a.Lends() && !toHolder && (a.waiting > 0 || !a.Has(now)) {
+		timeout := agentTimeout
+		if a.HasShare() {
+			timeout = holderTimeout
+		}
+		// The caller's deadline bounds it as well; what it doesn't take stays here.
+		if l.await(ctx, w, a, int(math.Ceil(float64(min(want, maxAwaited)))), timeout) != nil {
+			return 0, maxBackoff
+		}
+		now = time.Now()
+	}
+	lent := a.Lend(now, want, toHolder)
+	if a.Lends() && !toHolder && now.Sub(a.lastBorrowed) < recentLoanAge && a.TokensToBorrow(now, 0) > 0 {
+		l.startRound(w, a, now)
 	}
-	return lent, next
+	return lent, l.nextToken(a, now)
 }
 
 // server is the gRPC service that lends tokens to other daemons.
@@ -277,7 +340,7 @@
 }
 
 // Borrow lends tokens of the daemon's own share.
-func (s *server) Borrow(_ context.Context, r *sqpartwire.BorrowRequest) (*sqpartwire.BorrowAnswer, error) {
-	lent, next := s.limiter.lend(sqid.WorkspaceID(r.GetWorkspace()), squnit.Tokens(r.GetTokens()))
+func (s *server) Borrow(ctx context.Context, r *sqpartwire.BorrowRequest) (*sqpartwire.BorrowAnswer, error) {
+	lent, next := s.limiter.lend(ctx, sqid.WorkspaceID(r.GetWorkspace()), squnit.Tokens(r.GetTokens()), r.GetHolder())
 	return &sqpartwire.BorrowAnswer{Tokens: float64(lent), NextUs: next.Microseconds()}, nil
 }
--- a/internal/edge/sqlimiter/limiter_test.go
+++ b/internal/edge/sqlimiter/limiter_test.go
@@ -19,6 +19,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqlimit"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqshare"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqpartwire"
 )
 
@@ -39,6 +40,10 @@
 	// but those daemons can send requests and get the answers.
 	cut, answersLost, requestsLost map[sqid.DaemonID]bool
 
+	// opened has the pairs of daemons with an open connection. If it is not nil, the first
+	// call between two daemons takes two more round trips.
+	opened map[[2]int]bool
+
 	// fillTime is the time in which shares fill before the first request.
 	fillTime time.Duration
 	// asks counts the borrow calls between daemons.
@@ -74,7 +79,10 @@
 		if i%regions != self%regions {
 			away = 2
 		}
-		all[i] = Member{ID: name(i), Address: string(name(i)), Distance: away, Alive: true}
+		all[i] = Member{
+			Member:  sqshare.Member{ID: name(i), Region: sqid.RegionID(fmt.Sprint(i % regions))},
+			Address: string(name(i)), Distance: away, Near: away == 0, Alive: true,
+		}
 	}
 	return all
 }
@@ -116,6 +124,12 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	if l.w.isNewConnection(l.self, i) {
+		time.Sleep(4 * latency)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
 	time.Sleep(latency)
 	answer, err := (&server{limiter: l.w.limiters[i]}).Borrow(ctx, in.(*sqpartwire.BorrowRequest))
 	if l.w.answersLost[to] {
@@ -130,6 +144,17 @@
 	return err
 }
 
+// isNewConnection reports whether a call between two daemons has to open a connection.
+func (w *fakeFleet) isNewConnection(from, to int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.opened == nil || w.opened[[2]int{from, to}] {
+		return false
+	}
+	w.opened[[2]int{from, to}] = true
+	return true
+}
+
 func (l link) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
 	return nil, errors.New("streams are not supported")
 }
@@ -185,7 +210,7 @@
 	}
 	requests.Wait()
 	// Let borrowing rounds end that no request waits for.
-	time.Sleep(maxAsksPerRound * borrowTimeout)
+	time.Sleep(maxAsksPerRound * farTimeout)
 	close(stop)
 	wg.Wait()
 	return sent, admitted
@@ -351,7 +376,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, ok, qt.IsTrue)
 	p.Return("free")
-	given, _ := p.lend("free", squnit.Tokens(1))
+	given, _ := p.lend(t.Context(), "free", squnit.Tokens(1), false)
 	qt.Assert(t, given, qt.Equals, squnit.Tokens(0))
 }
 
@@ -381,7 +406,7 @@
 			ok, _, _ := p.Charge(&cancelledAfter{t.Context(), calls}, "w")
 			qt.Check(t, ok, qt.IsFalse)
 			qt.Check(t, p.accounts["w"].waiting, qt.Equals, 0, qt.Commentf("the context ends after %d calls of Err", calls))
-			time.Sleep(maxAsksPerRound * borrowTimeout)
+			time.Sleep(maxAsksPerRound * farTimeout)
 		})
 	}
 }
--- a/internal/policy/sqshare/part.go
+++ b/internal/policy/sqshare/part.go
@@ -19,9 +19,11 @@
 )
 
 const (
-	// minShareBurst is the least burst of one share, in tokens: with less, most
-	// requests would find a share empty while others have tokens.
+	// minShareBurst is the least burst of a share, in tokens, if every daemon has one:
+	// with less, most requests would find a share empty while others have tokens.
 	minShareBurst = 4
+	// fewShareBurst is the burst of a share if only some daemons have one.
+	fewShareBurst = 16
 	// lenderReserve is the time for which a lender keeps enough tokens for its own
 	// demand.
 	lenderReserve = 100 * time.Millisecond
@@ -33,12 +35,25 @@
 	// borrowedTTL is how long borrowed tokens may stay unspent. Expired tokens are
 	// lost to the workspace, but tokens kept for long would add to a full burst.
 	borrowedTTL = 2 * time.Second
+	// tokenEpsilon, in tokens, absorbs the rounding errors of adding fractions.
+	tokenEpsilon = 1e-9
 )
 
-// HolderCount returns the number of holders of a plan in a fleet with the given
-// number of members.
+// Member is a daemon that may hold a share.
+type Member struct {
+	ID     sqid.DaemonID
+	Region sqid.RegionID
+}
+
+// HolderCount returns the number of holders of a plan in a fleet with the given number of
+// members: all of them if each can have a share of minShareBurst, so that most requests
+// need no other daemon, and few with large shares otherwise, so that a few calls collect a
+// burst.
 func HolderCount(plan sqlimit.Capacity, members int) int {
-	return max(1, min(members, int(plan.Burst/minShareBurst)))
+	if int(plan.Burst/minShareBurst) >= members {
+		return max(1, members)
+	}
+	return max(1, min(members, int(plan.Burst/fewShareBurst)))
 }
 
 // ShareCount returns the number of shares that a holder divides the plan by. A
@@ -52,43 +67,98 @@
 	return (holders*minMembers + known - 1) / known
 }
 
-// Holders returns the members that hold a share of a workspace's plan. All daemons
-// that know the same members compute the same holders, and a member that joins or
-// leaves changes few of them (rendezvous hashing).
-func Holders(w sqid.WorkspaceID, plan sqlimit.Capacity, members []sqid.DaemonID) []sqid.DaemonID {
+// Roles are the daemons with a part in a workspace's rate limit.
+type Roles struct {
+	// Holders hold a share of the plan each.
+	Holders []sqid.DaemonID
+	// Agents are one daemon of each region, which borrows for the daemons of its region
+	// from the holders of others. It may hold a share itself.
+	Agents []sqid.DaemonID
+}
+
+// RolesFor returns the daemons with a part in a workspace's rate limit. The holders are
+// spread evenly over the regions, since borrowing from another region takes much longer.
+// All daemons that know the same members compute the same roles, and a member that joins
+// or leaves changes few of them (rendezvous hashing).
+func RolesFor(w sqid.WorkspaceID, plan sqlimit.Capacity, members []Member) Roles {
 	type ranked struct {
-		id   sqid.DaemonID
+		Member
 		rank uint64
+		// place is the member's place among those of its region.
+		place int
 	}
 	ranking := make([]ranked, len(members))
-	for i, id := range members {
-		ranking[i] = ranked{id, xxhash.Sum64String(string(w) + "\x00" + string(id))}
+	for i, m := range members {
+		ranking[i] = ranked{Member: m, rank: xxhash.Sum64String(string(w) + "\x00" + string(m.ID))}
 	}
-	slices.SortFunc(ranking, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.id, b.id))
-	})
-	holders := make([]sqid.DaemonID, 0, len(members))
-	for _, r := range ranking[:min(len(ranking), HolderCount(plan, len(members)))] {
-		holders = append(holders, r.id)
+	byRank := func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.ID, b.ID))
+	}
+	slices.SortFunc(ranking, byRank)
+	places := make(map[sqid.RegionID]int)
+	for i := range ranking {
+		ranking[i].place = places[ranking[i].Region]
+		places[ranking[i].Region]++
+	}
+	slices.SortFunc(ranking, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.place, b.place), byRank(a, b)) })
+	var roles Roles
+	for i, r := range ranking[:min(len(ranking), max(len(places), HolderCount(plan, len(members))))] {
+		if i < HolderCount(plan, len(members)) {
+			roles.Holders = append(roles.Holders, r.ID)
+		}
+		if r.place == 0 {
+			roles.Agents = append(roles.Agents, r.ID)
+		}
+	}
+	return roles
+}
+
+// demand is a moving average of events per second.
+type demand struct {
+	average   float64
+	updatedAt time.Time
+}
+
+// add counts n events.
+func (d *demand) add(now time.Time, n float64) {
+	d.average = d.rate(now) + n/demandTimeConstant.Seconds()
+	d.updatedAt = now
+}
+
+// rate returns the events per second. Without new events it decays quadratically, to
+// zero after twice the time constant.
+func (d *demand) rate(now time.Time) float64 {
+	decay := 1 - now.Sub(d.updatedAt).Seconds()/demandTimeConstant.Seconds()/2
+	if decay <= 0 {
+		return 0
 	}
-	return holders
+	return d.average * decay * decay
+}
+
+// lot is a number of borrowed tokens that expire together.
+type lot struct {
+	tokens squnit.Tokens
+	at     time.Time
 }
 
 // Account tracks what one daemon may spend of one workspace's plan: its own share, if
 // it is a holder, and borrowed tokens. It is not safe for concurrent use.
 type Account struct {
-	share    sqlimit.Bucket
-	borrowed squnit.Tokens
-	// borrowedAt is when tokens were last added to borrowed.
-	borrowedAt      time.Time
-	demand          float64
-	demandUpdatedAt time.Time
+	share sqlimit.Bucket
+	// lends is set for holders and agents.
+	lends bool
+	// borrowed are the borrowed tokens, oldest first.
+	borrowed []lot
+	// own is the demand of the daemon's own requests, asked that of the daemons that
+	// borrow from it.
+	own, asked demand
 }
 
 // Resize sets the daemon's share to the plan divided by holders, or to none if
 // holders is 0. A new share starts empty, since its previous holder may have spent
-// it.
-func (a *Account) Resize(now time.Time, plan sqlimit.Capacity, holders int) {
+// it. lends says whether the daemon is a holder or an agent.
+func (a *Account) Resize(now time.Time, plan sqlimit.Capacity, holders int, lends bool) {
+	a.lends = lends
 	if a.share.RefilledAt.IsZero() {
 		a.share.RefilledAt = now
 	}
@@ -100,82 +170,106 @@
 	a.share.Resize(plan.Times(1 / float64(holders)))
 }
 
+// HasShare reports whether the daemon is a holder.
+func (a *Account) HasShare() bool { return a.share.Capacity.Burst > 0 }
+
+// Lends reports whether the daemon is a holder or an agent.
+func (a *Account) Lends() bool { return a.lends }
+
 func (a *Account) advance(now time.Time) {
 	a.share.Advance(now)
-	if a.borrowed > 0 && now.Sub(a.borrowedAt) > borrowedTTL {
-		a.borrowed = 0
-	}
+	a.borrowed = slices.DeleteFunc(a.borrowed, func(l lot) bool { return now.Sub(l.at) > borrowedTTL })
 }
 
-// AddDemand counts one request towards the daemon's own demand.
-func (a *Account) AddDemand(now time.Time) {
-	a.demand = a.demandRate(now) + 1/demandTimeConstant.Seconds()
-	a.demandUpdatedAt = now
+// tokens returns the tokens of the share and those borrowed.
+func (a *Account) tokens() squnit.Tokens {
+	n := a.share.Tokens
+	for _, l := range a.borrowed {
+		n += l.tokens
+	}
+	return n
 }
 
-// demandRate returns the demand in requests per second. Without new requests it
-// decays quadratically, to zero after twice the time constant.
-func (a *Account) demandRate(now time.Time) float64 {
-	decay := 1 - now.Sub(a.demandUpdatedAt).Seconds()/demandTimeConstant.Seconds()/2
-	if decay <= 0 {
-		return 0
+// take takes n of the tokens, which the account must hold: first the borrowed ones, since
+// they expire.
+func (a *Account) take(n squnit.Tokens) {
+	for len(a.borrowed) > 0 && n > 0 {
+		l := &a.borrowed[0]
+		part := min(n, l.tokens)
+		n -= part
+		if l.tokens -= part; l.tokens <= 0 {
+			a.borrowed = a.borrowed[1:]
+		}
 	}
-	return a.demand * decay * decay
+	a.share.Tokens = max(0, a.share.Tokens-n)
 }
 
-// Spend spends one token, from the share first, and reports whether there was one.
-func (a *Account) Spend(now time.Time) bool {
+// AddDemand counts one request towards the daemon's own demand.
+func (a *Account) AddDemand(now time.Time) { a.own.add(now, 1) }
+
+// Has reports whether there is a token to spend or to lend.
+func (a *Account) Has(now time.Time) bool {
 	a.advance(now)
-	if a.share.Take(1) {
-		return true
-	}
-	if a.share.Tokens+a.borrowed < 1 {
+	return a.tokens()+tokenEpsilon >= 1
+}
+
+// Spend spends one token and reports whether there was one.
+func (a *Account) Spend(now time.Time) bool {
+	if !a.Has(now) {
 		return false
 	}
-	a.borrowed -= 1 - a.share.Tokens
-	a.share.Tokens = 0
+	a.take(1)
 	return true
 }
 
 // Return returns a token that was spent on a request that has not run. The token
 // counts as borrowed, so it can expire.
-func (a *Account) Return(now time.Time) {
-	a.borrowed++
-	a.borrowedAt = now
-}
+func (a *Account) Return(now time.Time) { a.Borrow(now, 1) }
 
 // TokensToBorrow returns how many tokens to ask another holder for while the given
 // number of requests wait. It rounds up to whole tokens, since a fraction would mostly
 // expire unspent.
 func (a *Account) TokensToBorrow(now time.Time, waiting int) squnit.Tokens {
 	a.advance(now)
-	want := max(float64(waiting), a.demandRate(now)*borrowAhead.Seconds())
-	return squnit.Tokens(math.Ceil(max(0, want-float64(a.share.Tokens+a.borrowed))))
+	want := max(float64(waiting), (a.own.rate(now)+a.asked.rate(now))*borrowAhead.Seconds())
+	return squnit.Tokens(math.Ceil(max(0, want-float64(a.tokens()))))
 }
 
 // Borrow adds borrowed tokens.
 func (a *Account) Borrow(now time.Time, n squnit.Tokens) {
 	a.advance(now)
-	a.borrowed += n
-	a.borrowedAt = now
+	a.borrowed = append(a.borrowed, lot{n, now})
 }
 
-// Lend takes whole tokens out of the daemon's share for another daemon, at most as
-// many as its own demand can spare.
-func (a *Account) Lend(now time.Time, want squnit.Tokens) squnit.Tokens {
-	a.advance(now)
-	n := min(want, a.share.Tokens-squnit.Tokens(a.demandRate(now)*lenderReserve.Seconds()))
-	n = squnit.Tokens(math.Floor(float64(n)))
-	if n <= 0 {
+// Lend takes tokens for another daemon, at most as many as the daemon's own requests can
+// spare in whole tokens, and at least one. Only holders and agents lend. What a daemon without a share
+// asks for counts as demand, for which this one borrows in turn; to another holder it
+// lends only what that demand can spare as well.
+func (a *Account) Lend(now time.Time, want squnit.Tokens, toHolder bool) squnit.Tokens {
+	if !a.lends || !(want > 0) {
 		return 0
 	}
-	a.share.Tokens -= n
+	a.advance(now)
+	reserved := a.own.rate(now)
+	if toHolder {
+		reserved += a.asked.rate(now)
+	}
+	n := min(want, a.tokens()-squnit.Tokens(math.Floor(reserved*lenderReserve.Seconds())))
+	if n+tokenEpsilon < min(want, 1) {
+		n = 0
+	}
+	if !toHolder {
+		a.asked.add(now, float64(want))
+	}
+	a.take(n)
 	return n
 }
 
-// TimeUntilToken returns the time until the share holds a token, and false if it
-// never will.
-func (a *Account) TimeUntilToken(now time.Time) (time.Duration, bool) {
+// TimeUntil returns the time until the share holds n tokens, and false if it never will.
+func (a *Account) TimeUntil(now time.Time, n squnit.Tokens) (time.Duration, bool) {
 	a.advance(now)
-	return a.share.TimeUntil(min(1, a.share.Capacity.Burst))
+	if !a.HasShare() {
+		return 0, false
+	}
+	return a.share.TimeUntil(min(n, max(1, a.share.Capacity.Burst)))
 }
