Catalog: four watchers in each data centre, none of the rest polls the store

Cause: below maxWatchers (200) members every daemon watched the store, which at 194 is 194 calls for each change and each 30 s, and all 194 read the catalog at the start.

Change: the first four alive daemons of each data centre watch (setting platform.watchersPerDataCentre), at any size: all of 16 hosts in 4 data centres, 32 of 194. A watch ends when the daemon is no longer one of them. A daemon that starts leaves the catalog to its peers for 1.5 s. The one that polls in each data centre does so less often the more of them its region has. A daemon that learns of many peers at once logs one line for them; 194 daemons wrote 29,743 lines while they joined. The setting maxWatchers is gone.

--- a/internal/base/sqsettings/check.go
+++ b/internal/base/sqsettings/check.go
@@ -172,6 +172,9 @@
 	if p.Service == "" {
 		add("platform.service", errors.New("is required"))
 	}
+	if p.WatchersPerDataCentre < 1 {
+		add("platform.watchersPerDataCentre", errors.Errorf("%d must be at least 1", p.WatchersPerDataCentre))
+	}
 	if p.Retry.Ratio < 0 || p.Retry.Slack < 0 {
 		add("platform.retry", errors.New("ratio and slack must not be negative"))
 	}
--- a/internal/base/sqsettings/settings.go
+++ b/internal/base/sqsettings/settings.go
@@ -97,9 +97,9 @@
 	// DataCentres maps every data centre to its region.
 	DataCentres map[sqid.DataCentreID]sqid.RegionID `toml:"dataCentres"`
 	Retry       Retry                               `toml:"retry"`
-	// MaxWatchers is the size of a fleet up to which every daemon watches the
-	// store itself. In a larger one only some do, and gossip what they read.
-	MaxWatchers int `toml:"maxWatchers"`
+	// WatchersPerDataCentre is the number of daemons of each data centre that watch the
+	// store. The others get what they read by gossip.
+	WatchersPerDataCentre int `toml:"watchersPerDataCentre"`
 }
 
 // Retry bounds the retries of calls to each service, over the whole fleet. Within any
@@ -158,9 +158,9 @@
 	defaultGrowthPercent = 400
 	// defaultAnnounceEvery is a common heartbeat period.
 	defaultAnnounceEvery = 1500 * time.Millisecond
-	// defaultMaxWatchers is a tenth of the reads per second that the smallest
-	// store serves.
-	defaultMaxWatchers = 200
+	// defaultWatchersPerDataCentre lets a change reach a data centre directly while the
+	// store refuses, or a network partition cuts off, some of its watchers.
+	defaultWatchersPerDataCentre = 4
 )
 
 // defaultRetry is a common retry budget: a tenth of the requests of the last 10 s.
@@ -171,8 +171,10 @@
 	return Settings{
 		StopTimeout: Span(defaultStopTimeout), Log: Log{Level: defaultLogLevel}, Policy: PolicyFull,
 		LinkBytesPerSecond: defaultLinkBytesPerSecond, Interface: InterfaceNative,
-		Memory:   Memory{Limit: defaultMemoryLimit, GrowthPercent: defaultGrowthPercent},
-		Platform: Platform{AnnounceEvery: Span(defaultAnnounceEvery), MaxWatchers: defaultMaxWatchers, Retry: defaultRetry},
+		Memory: Memory{Limit: defaultMemoryLimit, GrowthPercent: defaultGrowthPercent},
+		Platform: Platform{
+			AnnounceEvery: Span(defaultAnnounceEvery), WatchersPerDataCentre: defaultWatchersPerDataCentre, Retry: defaultRetry,
+		},
 	}
 }
 
--- a/internal/edge/sqdaemon/adapter.go
+++ b/internal/edge/sqdaemon/adapter.go
@@ -33,6 +33,12 @@
 	// joinTimeout is how long a daemon that finds no peers waits before it serves
 	// alone: enough for a few attempts to reach the store.
 	joinTimeout = 3 * time.Second
+	// lookForPeers is how long a daemon that knows no other leaves the catalog's watch to
+	// the peers that it may find.
+	lookForPeers = 600 * time.Millisecond
+	// maxPeerLines bounds the log lines for changed peers of one check. A daemon that joins
+	// a large fleet learns of all its peers at once.
+	maxPeerLines = 8
 	// readinessNotice is how long a stopping daemon goes on serving callers: long
 	// enough for two readiness checks, made once a second, to fail.
 	readinessNotice = 2200 * time.Millisecond
@@ -81,21 +87,32 @@
 	}
 	d.catalogFollower = &sqcatalog.Follower{
 		Store: d.platform, Key: d.Adapter.CatalogKey(), Holder: d.catalogHolder, Logger: d.Logger, Watching: d.followsStore,
-		Polling: d.member.IsFirstRelay,
+		Polling: d.member.IsFirstRelay, Pollers: d.pollers(),
 	}
 	d.member.OnFact(sqcatalog.FactName, func(_ uint64, record []byte) { d.catalogHolder.Apply(record, "peer") })
 }
 
-// followsStore reports whether this daemon follows the catalog in the store itself: it
-// does if it is a watcher or the fleet has no more than MaxWatchers daemons. Otherwise it
-// receives the catalog by gossip.
+// followsStore reports whether this daemon follows the catalog in the store itself, as the
+// first few of each data centre do. The others receive it by gossip. A daemon that has
+// just started first looks for peers that have it.
 func (d *Daemon) followsStore() bool {
+	if d.member.Alone() && time.Since(d.startTime) < lookForPeers {
+		return false
+	}
+	rank := d.member.Rank()
+	return rank >= 0 && rank < d.Settings.Platform.WatchersPerDataCentre
+}
+
+// pollers returns the number of daemons of the region that poll the catalog: one in each
+// data centre.
+func (d *Daemon) pollers() int {
 	n := 0
-	d.member.Each(func(sqmember.Row) bool {
-		n++
-		return n <= d.Settings.Platform.MaxWatchers
-	})
-	return n <= d.Settings.Platform.MaxWatchers || d.member.IsWatcher()
+	for _, region := range d.Settings.Platform.DataCentres {
+		if region == d.Settings.Region {
+			n++
+		}
+	}
+	return n
 }
 
 func (d *Daemon) buildRateShares() {
@@ -114,21 +131,35 @@
 	states map[sqid.DaemonID]sqmember.State
 }
 
-// Tick logs the changes since the previous call.
+// Tick logs the changes since the previous call: a line for each, or one line with
+// their numbers if there are many.
 func (l *peerLog) Tick(time.Time) {
 	if l.states == nil {
 		l.states = make(map[sqid.DaemonID]sqmember.State)
 	}
 	self := l.member.Self().ID
+	var changed []sqmember.Row
 	l.member.Each(func(r sqmember.Row) bool {
-		before, known := l.states[r.ID]
-		if r.ID != self && (!known || before != r.State) {
-			l.states[r.ID] = r.State
-			l.logger.Info("peer changed", "peer", r.ID, "state", r.State.String(), "known", known,
-				"dataCentre", r.DataCentre, "incarnation", r.Incarnation)
+		if before, known := l.states[r.ID]; r.ID != self && (!known || before != r.State) {
+			changed = append(changed, r)
 		}
 		return true
 	})
+	if len(changed) > maxPeerLines {
+		counts := make(map[string]int)
+		for _, r := range changed {
+			l.states[r.ID] = r.State
+			counts[r.State.String()]++
+		}
+		l.logger.Info("peers changed", "peers", len(changed), "states", counts, "known", len(l.states))
+		return
+	}
+	for _, r := range changed {
+		_, known := l.states[r.ID]
+		l.states[r.ID] = r.State
+		l.logger.Info("peer changed", "peer", r.ID, "state", r.State.String(), "known", known,
+			"dataCentre", r.DataCentre, "incarnation", r.Incarnation)
+	}
 }
 
 // plans provides the rates of the catalog in force for the division into shares.
--- a/internal/state/sqcatalog/catalog_test.go
+++ b/internal/state/sqcatalog/catalog_test.go
@@ -100,6 +100,8 @@
 	sqkv.Store
 	record atomic.Value
 	gets   atomic.Int64
+	// watches is the number of watches that wait.
+	watches atomic.Int64
 }
 
 func (s *silentStore) Get(_ context.Context, key string) (sqkv.Record, error) {
@@ -113,6 +115,8 @@
 }
 
 func (s *silentStore) Watch(ctx context.Context, _ string, _ sqkv.Version, _ func(sqkv.Event) error) error {
+	s.watches.Add(1)
+	defer s.watches.Add(-1)
 	<-ctx.Done()
 	return ctx.Err()
 }
@@ -146,3 +150,33 @@
 		qt.Assert(t, <-done, qt.IsNil)
 	})
 }
+
+// TestWatchEndsWithTheRole ends the watch of a daemon that is no longer to watch, so that
+// in a large fleet the daemons that all watched at its start don't go on.
+func TestWatchEndsWithTheRole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := new(silentStore)
+		store.record.Store("1")
+		var watching atomic.Bool
+		f := &Follower{
+			Store: store, Key: "k", Holder: &Holder{Parse: parseVersion, Logger: logr.Discard()}, Logger: logr.Discard(),
+			Watching: watching.Load,
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- f.Run(ctx) }()
+		// A daemon that isn't to watch leaves the catalog to its peers for a while, and
+		// then reads it itself.
+		time.Sleep(gossipWait / 2)
+		qt.Assert(t, store.gets.Load(), qt.Equals, int64(0))
+		time.Sleep(gossipWait)
+		qt.Assert(t, f.Holder.Catalog(), qt.Not(qt.IsNil))
+		time.Sleep(10 * time.Second)
+		qt.Assert(t, store.watches.Load(), qt.Equals, int64(0))
+		watching.Store(true)
+		time.Sleep(time.Second)
+		qt.Assert(t, store.watches.Load(), qt.Equals, int64(1))
+		cancel()
+		qt.Assert(t, <-done, qt.IsNil)
+	})
+}
--- a/internal/state/sqcatalog/holder.go
+++ b/internal/state/sqcatalog/holder.go
@@ -78,10 +78,15 @@
 	// maxRetryDelay bounds the delay, which doubles while the store is
 	// unavailable.
 	maxRetryDelay = time.Second
-	// pollPeriod is the mean time between two reads of a daemon that polls. It
-	// is half of the time within which a change must be in force; gossip needs
-	// the rest.
+	// pollPeriod is the mean time between two reads of a daemon that polls, if
+	// there is one in its region or two. It is half of the time within which a
+	// change must be in force; gossip needs the rest.
 	pollPeriod = time.Second
+	// gossipWait is how long a daemon that starts waits for the catalog from its
+	// peers before it reads it itself.
+	gossipWait = 1500 * time.Millisecond
+	// checkPeriod is the time between two checks whether this daemon is to watch.
+	checkPeriod = 100 * time.Millisecond
 	// readTimeout bounds one read of the record.
 	readTimeout = 2 * time.Second
 )
@@ -100,6 +105,9 @@
 	// daemon of each data centre polls and the others get a change by gossip.
 	// A nil Polling means never.
 	Polling func() bool
+	// Pollers is the number of daemons of the region that poll; 0 counts as 1.
+	// Each polls the less often the more there are.
+	Pollers int
 
 	// failing is whether the last attempt to follow the record failed.
 	failing bool
@@ -110,10 +118,10 @@
 	var polls sync.WaitGroup
 	defer polls.Wait()
 	polls.Go(func() { f.poll(ctx) })
-	wait := retryDelay
+	wait, started := retryDelay, time.Now()
 	for ctx.Err() == nil {
-		if f.Holder.Catalog() != nil && !f.Watching() {
-			_ = sqtimer.Sleep(ctx, maxRetryDelay)
+		if !f.Watching() && (f.Holder.Catalog() != nil || time.Since(started) < gossipWait) {
+			_ = sqtimer.Sleep(ctx, checkPeriod)
 			continue
 		}
 		began := time.Now()
@@ -129,9 +137,32 @@
 	return nil
 }
 
-// poll reads the record every pollPeriod on average while Polling is true.
+// errNotWatcher ends the watch of a daemon that is no longer to watch.
+var errNotWatcher = errors.New("others watch")
+
+// whileWatching returns a context that ends once this daemon is not to watch for two
+// checks in a row.
+func (f *Follower) whileWatching(ctx context.Context) (context.Context, context.CancelFunc) {
+	watching, cancel := context.WithCancelCause(ctx)
+	go func() {
+		for idle := 0; idle < 2; {
+			if sqtimer.Sleep(watching, maxRetryDelay) != nil {
+				return
+			}
+			if idle++; f.Watching() {
+				idle = 0
+			}
+		}
+		cancel(errNotWatcher)
+	}()
+	return watching, func() { cancel(context.Canceled) }
+}
+
+// poll reads the record every pollPeriod on average while Polling is true, and less often
+// if several daemons of the region do.
 func (f *Follower) poll(ctx context.Context) {
-	for sqtimer.Sleep(ctx, pollPeriod/2+rand.N(pollPeriod)) == nil {
+	period := pollPeriod * time.Duration(max(2, f.Pollers)) / 2
+	for sqtimer.Sleep(ctx, period/2+rand.N(period)) == nil {
 		if f.Polling == nil || !f.Polling() {
 			continue
 		}
@@ -159,10 +190,15 @@
 		f.apply(r)
 	}
 	f.logTransition(ctx, nil)
-	err = f.Store.Watch(ctx, f.Key, version, func(e sqkv.Event) error {
+	watching, stop := f.whileWatching(ctx)
+	defer stop()
+	err = f.Store.Watch(watching, f.Key, version, func(e sqkv.Event) error {
 		f.apply(e.Record)
 		return nil
 	})
+	if cause := context.Cause(watching); errors.Is(cause, errNotWatcher) {
+		err = cause
+	}
 	return errors.Wrap(err, "watch catalog")
 }
 
@@ -179,7 +215,7 @@
 	case err == nil && f.failing:
 		f.failing = false
 		f.Logger.Info("catalog is followed again")
-	case err != nil && !f.failing && ctx.Err() == nil && !errors.Is(err, sqkv.ErrCompacted):
+	case err != nil && !f.failing && ctx.Err() == nil && !errors.Is(err, sqkv.ErrCompacted) && !errors.Is(err, errNotWatcher):
 		f.failing = true
 		f.Logger.Info("catalog can't be followed", "error", err.Error())
 	}
--- a/internal/state/sqmember/member.go
+++ b/internal/state/sqmember/member.go
@@ -324,6 +324,24 @@
 	return m.relayRank() == 0
 }
 
+// Rank returns this daemon's rank among the alive daemons of its data centre, 0 being
+// the first, or -1 if it is not one of them.
+func (m *Member) Rank() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.start()
+	rank := 0
+	for _, id := range m.view.ranked(m.self.DataCentre) {
+		if id == m.self.ID {
+			return rank
+		}
+		if r, ok := m.rows.Get(id); ok && r.State == Alive {
+			rank++
+		}
+	}
+	return -1
+}
+
 // IsRelay reports whether this daemon is one of the two relays, which exchange
 // updates with the other data centres.
 func (m *Member) IsRelay() bool {
