Stop: SIGHUP no longer ends it, and the process ends within the grace time

Causes: the handler of SIGHUP ended with the first SIGTERM, so a SIGHUP during a graceful stop killed the daemon and cut its requests. The stop itself used the whole StopTimeout, so with a request still in progress the process ended after it (6.006 s of 6 s) and was killed by the platform.

Change: SIGHUP is handled until the process ends; the stop leaves 300 ms of StopTimeout.

A keepers record without shares is rejected; it was accepted and then panicked (TestDecodeRejectsUnusableRecords). A seed record that claims more than 65,536 daemons no longer sets the number by which rates are divided (TestOddSeedRecords).

--- a/cmd/sequoiatack/daemon.go
+++ b/cmd/sequoiatack/daemon.go
@@ -69,7 +69,10 @@
 	}
 	debug.SetGCPercent(cfg.Memory.GrowthPercent)
 	debug.SetMemoryLimit(int64(runtimeMemoryFraction * float64(cfg.Memory.Limit)))
-	go logChangesOnHangup(ctx, file, cfg, log)
+	// It goes on during a graceful stop, which a SIGHUP would otherwise end.
+	hangupCtx, stopHangups := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopHangups()
+	go logChangesOnHangup(hangupCtx, file, cfg, log)
 	d := &sqdaemon.Daemon{Settings: cfg, Logger: log}
 	if cfg.Interface == sqsettings.InterfacePlatform {
 		d.Adapter = &platform.Adapter{Settings: cfg, Logger: log}
--- a/internal/edge/sqdaemon/build.go
+++ b/internal/edge/sqdaemon/build.go
@@ -169,7 +169,7 @@
 }
 
 func (d *Daemon) buildPeers() {
-	d.peers = sqpeer.NewServer(d.control.ServerOption())
+	d.peers = sqpeer.NewServer(d.Logger, d.control.ServerOption())
 	(&sqgate.Server{Gate: d.gate}).Register(d.peers)
 	d.gossip.Register(d.peers)
 	if d.Adapter != nil {
--- a/internal/edge/sqdaemon/path_test.go
+++ b/internal/edge/sqdaemon/path_test.go
@@ -94,7 +94,7 @@
 		Charger: unlimitedCharger{}, Operations: noOperations{}, Metrics: f.metric, Decisions: &sqlog.DecisionLog{Logger: logr.Discard()}, ReportUnreachable: func(sqid.DaemonID) {}, Stopping: func() bool { return false },
 	}
 	n.entry = entry
-	server := sqpeer.NewServer()
+	server := sqpeer.NewServer(logr.Discard())
 	(&sqgate.Server{Gate: n.gate}).Register(server)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(f.t, err, qt.IsNil)
--- a/internal/edge/sqdaemon/stop.go
+++ b/internal/edge/sqdaemon/stop.go
@@ -19,15 +19,19 @@
 	// handoverTimeout bounds the handover of shards.
 	handoverTimeout = 5 * time.Second
 	drainPoll       = 10 * time.Millisecond
+	// exitMargin is the part of the StopTimeout setting that is left for the process to
+	// end: who stops it may kill it as soon as that time has passed.
+	exitMargin = 300 * time.Millisecond
 )
 
 // stop stops the daemon gracefully, in the order that the package comment describes. It
-// returns an error if calls were aborted because the StopTimeout setting had passed or
-// abort had ended.
+// returns an error if calls were aborted because the time had passed that the StopTimeout
+// setting leaves, or abort had ended.
 func (d *Daemon) stop(abort context.Context) error {
 	d.Logger.Info("stopping")
 	d.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(abort, time.Duration(d.Settings.StopTimeout))
+	timeout := time.Duration(d.Settings.StopTimeout)
+	ctx, cancel := context.WithTimeout(abort, max(timeout/2, timeout-exitMargin))
 	defer cancel()
 	d.leave(ctx)
 	_ = sqtimer.Sleep(ctx, leaveGrace)
--- a/internal/edge/sqgossip/seedrecords.go
+++ b/internal/edge/sqgossip/seedrecords.go
@@ -26,6 +26,9 @@
 	SeedPrefix = "sequoiatack/seeds/"
 	// maxSeedPeers bounds the addresses in a record.
 	maxSeedPeers = 8
+	// maxRecordMembers bounds the number of daemons that a record may claim for a data
+	// centre. Rates are divided among as many.
+	maxRecordMembers = 1 << 16
 	// checkPeriod is the time between two checks of the record against the membership.
 	checkPeriod = 400 * time.Millisecond
 	// maxFirstCheck is the longest time until the first check, and until the next one
@@ -96,6 +99,9 @@
 		return err != nil
 	})
 	record.Peers = peers[:min(len(peers), maxSeedPeers)]
+	if record.Members > maxRecordMembers {
+		record.Members = 0
+	}
 	record.Members = max(record.Members, len(record.Peers))
 	return record
 }
--- a/internal/edge/sqgossip/seedrecords_test.go
+++ b/internal/edge/sqgossip/seedrecords_test.go
@@ -159,3 +159,35 @@
 	}
 	c.Assert(time.Since(began) <= 2*time.Second, qt.IsTrue, qt.Commentf("took %v", time.Since(began)))
 }
+
+// TestOddSeedRecords parses what another writer may have left in a data centre's record. A
+// record counts only with what can be used of it.
+func TestOddSeedRecords(t *testing.T) {
+	for name, c := range map[string]struct {
+		value   string
+		peers   []string
+		members int
+	}{
+		"whole":                 {`{"peers":["10.0.0.1:7000"],"members":3}`, []string{"10.0.0.1:7000"}, 3},
+		"a port out of range":   {`{"peers":["10.0.0.1:70000","10.0.0.2:7000"],"members":2}`, []string{"10.0.0.2:7000"}, 2},
+		"a number too large":    {`{"peers":["10.0.0.1:7000"],"members":1e400}`, nil, 0},
+		"too many members":      {`{"peers":["10.0.0.1:7000"],"members":9000000000000000000}`, []string{"10.0.0.1:7000"}, 1},
+		"a negative number":     {`{"peers":["10.0.0.1:7000"],"members":-9}`, []string{"10.0.0.1:7000"}, 1},
+		"very deeply nested":    {strings.Repeat("[", 1<<20) + strings.Repeat("]", 1<<20), nil, 0},
+		"nested in a field":     {`{"peers":` + strings.Repeat(`{"a":`, 1<<16) + "1" + strings.Repeat("}", 1<<16) + "}", nil, 0},
+		"another type":          {`{"peers":{"a":1},"members":"3"}`, nil, 0},
+		"null":                  {`null`, nil, 0},
+		"null for each field":   {`{"peers":null,"members":null}`, nil, 0},
+		"not UTF-8":             {"{\"peers\":[\"\xff\xfe\"],\"members\":1}", nil, 1},
+		"a field twice":         {`{"peers":["10.0.0.1:7000"],"peers":["10.0.0.2:7000"],"members":1}`, []string{"10.0.0.2:7000"}, 1},
+		"a string of megabytes": {`{"peers":["` + strings.Repeat("9", 4<<20) + `"]}`, nil, 0},
+		"empty":                 {``, nil, 0},
+	} {
+		r := parseSeeds([]byte(c.value))
+		qt.Check(t, len(r.Peers), qt.Equals, len(c.peers), qt.Commentf("%s: %.60q", name, r.Peers))
+		for i := range min(len(c.peers), len(r.Peers)) {
+			qt.Check(t, r.Peers[i], qt.Equals, c.peers[i], qt.Commentf("%s", name))
+		}
+		qt.Check(t, r.Members, qt.Equals, c.members, qt.Commentf("%s", name))
+	}
+}
--- a/internal/edge/sqpeer/pool.go
+++ b/internal/edge/sqpeer/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
@@ -87,14 +88,15 @@
 }
 
 // NewServer returns a gRPC server with the window sizes, message limit and keepalive
-// settings that the pool's connections expect.
-func NewServer(options ...grpc.ServerOption) *grpc.Server {
-	return grpc.NewServer(append([]grpc.ServerOption{
+// settings that the pool's connections expect. A handler that panics ends its call, not
+// the process.
+func NewServer(log logr.Logger, options ...grpc.ServerOption) *grpc.Server {
+	return grpc.NewServer(append(append([]grpc.ServerOption{
 		grpc.InitialWindowSize(windowBytes),
 		grpc.InitialConnWindowSize(windowBytes),
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
 		grpc.NumStreamWorkers(streamWorkers),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
-	}, options...)...)
+	}, recoverOptions(log)...), options...)...)
 }
--- a/internal/state/sqkeeper/keeper_test.go
+++ b/internal/state/sqkeeper/keeper_test.go
@@ -280,3 +280,26 @@
 	k.Tick(m.now.Add(k.Timing.MaxTickGap + time.Millisecond))
 	c.Check(k.MaySpend(0, m.now.Add(k.Timing.MaxTickGap+time.Millisecond)), qt.IsFalse)
 }
+
+// TestDecodeRejectsUnusableRecords decodes records that another writer may have left. One
+// that is accepted can be used and changed without a panic.
+func TestDecodeRejectsUnusableRecords(t *testing.T) {
+	set := SharesSet{Epoch: 1, DataCentres: []sqid.DataCentreID{"dc"}}
+	whole := FirstRecord("dc", member(1, 1), SharesSet{}, set)
+	for name, spoil := range map[string]func(r *Record){
+		"no shares":                 func(r *Record) { r.Shares = nil },
+		"no roster":                 func(r *Record) { r.Roster = nil },
+		"keeper outside the roster": func(r *Record) { r.Assignments[3].Keeper = 7 },
+		"negative keeper":           func(r *Record) { r.Assignments[3].Keeper = -1 },
+		"backup outside the roster": func(r *Record) { r.Assignments[3].Backup = 9 },
+		"epoch 0":                   func(r *Record) { r.Epoch = 0 },
+	} {
+		r := *whole
+		spoil(&r)
+		_, err := Decode(r.Encode())
+		qt.Check(t, err, qt.Not(qt.IsNil), qt.Commentf("%s", name))
+	}
+	r, err := Decode(whole.Encode())
+	qt.Assert(t, err, qt.IsNil)
+	r.Next(Changes{Alive: Roster{member(1, 1)}, Closed: func(EarlierRoster) bool { return true }, Shares: set})
+}
--- a/internal/state/sqkeeper/record.go
+++ b/internal/state/sqkeeper/record.go
@@ -192,6 +192,9 @@
 	if r.Epoch == 0 || r.DataCentre == "" || len(r.Roster) == 0 {
 		return nil, errors.New("keepers record has no epoch, data centre or roster")
 	}
+	if len(r.Shares) == 0 {
+		return nil, errors.New("keepers record has no set of shares")
+	}
 	for s, a := range r.Assignments {
 		if a.Keeper < 0 || a.Keeper >= len(r.Roster) {
 			return nil, errors.Errorf("keepers record: keeper of shard %d is not in the roster", s)
