Start of a fleet: one daemon of each data centre reads the store first

At the start each of 194 daemons read its data centre's seed record within 300 ms, and each that knew fewer than four others of its data centre read and watched the catalog.

Change: the first check of the seed record is spread over 800 ms, when most daemons have found it written by another; for its first 3 s a daemon watches only if it is the first of its data centre.

--- a/internal/edge/sqdaemon/adapter.go
+++ b/internal/edge/sqdaemon/adapter.go
@@ -94,13 +94,18 @@
 
 // followsStore reports whether this daemon follows the catalog in the store itself, as the
 // first few of each data centre do. The others receive it by gossip. A daemon that has
-// just started first looks for peers that have it.
+// just started first looks for peers, and may not know all of them for a while.
 func (d *Daemon) followsStore() bool {
-	if d.member.Alone() && time.Since(d.startTime) < lookForPeers {
+	age := time.Since(d.startTime)
+	if d.member.Alone() && age < lookForPeers {
 		return false
 	}
+	watchers := d.Settings.Platform.WatchersPerDataCentre
+	if age < joinTimeout {
+		watchers = 1
+	}
 	rank := d.member.Rank()
-	return rank >= 0 && rank < d.Settings.Platform.WatchersPerDataCentre
+	return rank >= 0 && rank < watchers
 }
 
 // pollers returns the number of daemons of the region that poll the catalog: one in each
--- a/internal/edge/sqgossip/seedrecords.go
+++ b/internal/edge/sqgossip/seedrecords.go
@@ -31,10 +31,12 @@
 	maxRecordMembers = 1 << 16
 	// checkPeriod is the time between two checks of the record against the membership.
 	checkPeriod = 400 * time.Millisecond
-	// maxFirstCheck is the longest time until the first check, and until the next one
-	// after another daemon wrote first. It is random, so that of the daemons of a data
-	// centre that start together few write the same record.
-	maxFirstCheck = 300 * time.Millisecond
+	// maxFirstCheck is the longest time until the first check. It is random, so that
+	// most of the daemons of a data centre that start together find the record written.
+	maxFirstCheck = 800 * time.Millisecond
+	// maxConflictWait is the longest time until the next check after another daemon wrote
+	// the record first.
+	maxConflictWait = 300 * time.Millisecond
 	// aloneGrace is the time for which a daemon that knows no other only tries to join
 	// the peers that the record names, before it adds itself to them.
 	aloneGrace = time.Second
@@ -180,7 +182,7 @@
 		case <-time.After(wait):
 			wait = jittered(checkPeriod)
 			if s.check(ctx, time.Now()) {
-				wait = rand.N(maxFirstCheck)
+				wait = rand.N(maxConflictWait)
 			}
 		}
 	}
