Connections to targets: a head without end no longer fills the memory

Cause: the head of an answer was read without a limit. A target that sends bytes without end (no line end, a long header, header lines, informational answers) was read until the request's deadline: 64 MB and more within a second, on hosts of 184 MB.

Change: 256 KiB for a head with the informational answers before it, 4 MiB for an answer to another request that is skipped. The request fails, and its connection is closed.

--- a/internal/edge/sqconn/exchange.go
+++ b/internal/edge/sqconn/exchange.go
@@ -195,6 +195,8 @@
 // answers, and up to maxForeignAnswers that belong to other requests.
 func (x *exchange) readAnswer() (*http.Response, error) {
 	request := &http.Request{Method: x.r.Method}
+	in := x.conn.in
+	in.left = maxHeadBytes
 	for foreign := 0; foreign <= maxForeignAnswers; {
 		resp, err := http.ReadResponse(x.conn.br, request)
 		if err != nil {
@@ -204,6 +206,7 @@
 			continue
 		}
 		if x.conn.pool.IsOwnAnswer == nil || x.conn.pool.IsOwnAnswer(resp.Header, x.r.ID) {
+			in.left = unlimited
 			x.noteIdleTimeout(resp)
 			resp.Body = &body{ReadCloser: resp.Body, x: x}
 			return resp, nil
@@ -213,9 +216,11 @@
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			break
 		}
+		in.left = maxForeignBytes
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, errors.Wrap(err, "read another request's answer")
 		}
+		in.left = maxHeadBytes
 	}
 	return nil, errForeignAnswer
 }
--- a/internal/edge/sqconn/pool.go
+++ b/internal/edge/sqconn/pool.go
@@ -73,8 +73,10 @@
 	net.Conn
 	pool    *Pool
 	address string
-	br      *bufio.Reader
-	bw      *bufio.Writer
+	// in limits what br reads.
+	in *limitedReader
+	br *bufio.Reader
+	bw *bufio.Writer
 	// idleTimeout is how long the target keeps the connection open while idle. After
 	// expires, an idle connection is not reused.
 	idleTimeout time.Duration
@@ -150,9 +152,10 @@
 		p.endpoints[address] = &endpoint{}
 	}
 	p.endpoints[address].open++
+	in := &limitedReader{Reader: nc, left: unlimited}
 	return &conn{
 		Conn: nc, pool: p, address: address, idleTimeout: defaultIdleTimeout,
-		br: bufio.NewReaderSize(nc, bufferBytes), bw: bufio.NewWriterSize(nc, bufferBytes),
+		in: in, br: bufio.NewReaderSize(in, bufferBytes), bw: bufio.NewWriterSize(nc, bufferBytes),
 	}, nil
 }
 
--- a/internal/edge/sqconn/pool_test.go
+++ b/internal/edge/sqconn/pool_test.go
@@ -330,3 +330,50 @@
 	qt.Assert(t, ask(t.Context(), "last"), qt.IsNil)
 	qt.Assert(t, <-heads, qt.Equals, "last")
 }
+
+// TestAnswersWithoutEnd has targets that send bytes without end instead of an answer, until
+// the connection is closed. The request must fail with no more read than a head may have,
+// and its connection must not be used again.
+func TestAnswersWithoutEnd(t *testing.T) {
+	// maxSent is what a target may get rid of: a head's limit and the sockets' buffers.
+	const maxSent = 16 << 20
+	line := strings.Repeat("a", 1000)
+	for name, c := range map[string]struct{ start, repeated string }{
+		"no line":              {"", line},
+		"a status line":        {"HTTP/1.1 200 ", line},
+		"a header line":        {"HTTP/1.1 200 OK\r\nX: ", line},
+		"header lines":         {"HTTP/1.1 200 OK\r\n", "X: " + line + "\r\n"},
+		"continuation lines":   {"HTTP/1.1 200 OK\r\nX: a\r\n", " " + line + "\r\n"},
+		"informational":        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"blank lines":          {"", "\r\n"},
+		"a foreign body":       {"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 999999999999\r\n\r\n", line},
+		"a foreign chunk line": {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n1;", line},
+		"foreign trailers":     {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: " + line + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			address := serveRaw(t, func(n int, conn net.Conn, br *bufio.Reader) {
+				id, err := readRequestID(br)
+				if err != nil || n > 1 {
+					reply(conn, id, "whole")
+					return
+				}
+				total, err := io.WriteString(conn, c.start)
+				for part := strings.Repeat(c.repeated, 1+64<<10/len(c.repeated)); err == nil && total < 4*maxSent; {
+					var m int
+					m, err = io.WriteString(conn, part)
+					total += m
+				}
+				sent <- total
+			})
+			p := &sqconn.Pool{IsOwnAnswer: hasID}
+			_, err := do(t, p, address, get("1"))
+			qt.Assert(t, err, qt.Not(qt.IsNil))
+			total := <-sent
+			qt.Check(t, total <= maxSent, qt.IsTrue, qt.Commentf("the target sent %d bytes", total))
+			text, err := do(t, p, address, get("2"))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, text, qt.Equals, "whole")
+		})
+	}
+}
