Catalog: eight watchers in each region, instead of four in each data centre

Cause: in a small fleet of many data centres nearly all daemons watched: of 40 hosts in 8 data centres 32.

Change: setting platform.watchersPerRegion, 8, spread over the region's data centres: 4 in each of 2, 2 in each of 4. The daemons that poll do so every second if there are two in a region, and every DCs - 1 seconds otherwise.

--- a/internal/base/sqsettings/check.go
+++ b/internal/base/sqsettings/check.go
@@ -172,8 +172,8 @@
 	if p.Service == "" {
 		add("platform.service", errors.New("is required"))
 	}
-	if p.WatchersPerDataCentre < 1 {
-		add("platform.watchersPerDataCentre", errors.Errorf("%d must be at least 1", p.WatchersPerDataCentre))
+	if p.WatchersPerRegion < 1 {
+		add("platform.watchersPerRegion", errors.Errorf("%d must be at least 1", p.WatchersPerRegion))
 	}
 	if p.Retry.Ratio < 0 || p.Retry.Slack < 0 {
 		add("platform.retry", errors.New("ratio and slack must not be negative"))
--- a/internal/base/sqsettings/settings.go
+++ b/internal/base/sqsettings/settings.go
@@ -97,9 +97,9 @@
 	// DataCentres maps every data centre to its region.
 	DataCentres map[sqid.DataCentreID]sqid.RegionID `toml:"dataCentres"`
 	Retry       Retry                               `toml:"retry"`
-	// WatchersPerDataCentre is the number of daemons of each data centre that watch the
-	// store. The others get what they read by gossip.
-	WatchersPerDataCentre int `toml:"watchersPerDataCentre"`
+	// WatchersPerRegion is the number of daemons of each region that watch the store,
+	// spread over its data centres. The others get what they read by gossip.
+	WatchersPerRegion int `toml:"watchersPerRegion"`
 }
 
 // Retry bounds the retries of calls to each service, over the whole fleet. Within any
@@ -158,9 +158,9 @@
 	defaultGrowthPercent = 400
 	// defaultAnnounceEvery is a common heartbeat period.
 	defaultAnnounceEvery = 1500 * time.Millisecond
-	// defaultWatchersPerDataCentre lets a change reach a data centre directly while the
-	// store refuses, or a network partition cuts off, some of its watchers.
-	defaultWatchersPerDataCentre = 4
+	// defaultWatchersPerRegion lets a change reach a region directly while the store
+	// refuses, or a network partition cuts off, several of its watchers.
+	defaultWatchersPerRegion = 8
 )
 
 // defaultRetry is a common retry budget: a tenth of the requests of the last 10 s.
@@ -173,7 +173,7 @@
 		LinkBytesPerSecond: defaultLinkBytesPerSecond, Interface: InterfaceNative,
 		Memory: Memory{Limit: defaultMemoryLimit, GrowthPercent: defaultGrowthPercent},
 		Platform: Platform{
-			AnnounceEvery: Span(defaultAnnounceEvery), WatchersPerDataCentre: defaultWatchersPerDataCentre, Retry: defaultRetry,
+			AnnounceEvery: Span(defaultAnnounceEvery), WatchersPerRegion: defaultWatchersPerRegion, Retry: defaultRetry,
 		},
 	}
 }
--- a/internal/edge/sqdaemon/adapter.go
+++ b/internal/edge/sqdaemon/adapter.go
@@ -87,7 +87,7 @@
 	}
 	d.catalogFollower = &sqcatalog.Follower{
 		Store: d.platform, Key: d.Adapter.CatalogKey(), Holder: d.catalogHolder, Logger: d.Logger, Watching: d.followsStore,
-		Polling: d.member.IsFirstRelay, Pollers: d.pollers(),
+		Polling: d.member.IsFirstRelay, Pollers: d.dataCentresOfRegion(),
 	}
 	d.member.OnFact(sqcatalog.FactName, func(_ uint64, record []byte) { d.catalogHolder.Apply(record, "peer") })
 }
@@ -100,7 +100,8 @@
 	if d.member.Alone() && age < lookForPeers {
 		return false
 	}
-	watchers := d.Settings.Platform.WatchersPerDataCentre
+	dataCentres := d.dataCentresOfRegion()
+	watchers := (d.Settings.Platform.WatchersPerRegion + dataCentres - 1) / dataCentres
 	if age < joinTimeout {
 		watchers = 1
 	}
@@ -108,16 +109,15 @@
 	return rank >= 0 && rank < watchers
 }
 
-// pollers returns the number of daemons of the region that poll the catalog: one in each
-// data centre.
-func (d *Daemon) pollers() int {
+// dataCentresOfRegion returns the number of data centres of this daemon's region.
+func (d *Daemon) dataCentresOfRegion() int {
 	n := 0
 	for _, region := range d.Settings.Platform.DataCentres {
 		if region == d.Settings.Region {
 			n++
 		}
 	}
-	return n
+	return max(1, n)
 }
 
 func (d *Daemon) buildRateShares() {
--- a/internal/state/sqcatalog/holder.go
+++ b/internal/state/sqcatalog/holder.go
@@ -105,8 +105,8 @@
 	// daemon of each data centre polls and the others get a change by gossip.
 	// A nil Polling means never.
 	Polling func() bool
-	// Pollers is the number of daemons of the region that poll; 0 counts as 1.
-	// Each polls the less often the more there are.
+	// Pollers is the number of daemons of the region that poll. Each polls the
+	// less often the more there are.
 	Pollers int
 
 	// failing is whether the last attempt to follow the record failed.
@@ -161,7 +161,7 @@
 // poll reads the record every pollPeriod on average while Polling is true, and less often
 // if several daemons of the region do.
 func (f *Follower) poll(ctx context.Context) {
-	period := pollPeriod * time.Duration(max(2, f.Pollers)) / 2
+	period := pollPeriod * time.Duration(max(1, f.Pollers-1))
 	for sqtimer.Sleep(ctx, period/2+rand.N(period)) == nil {
 		if f.Polling == nil || !f.Polling() {
 			continue
