Rate limiter: holders with 7 tokens of burst instead of 16, near ones asked at once

Cause: with 16 tokens a holder most plans of the small sites had one to three holders, and a holder that is dead or cut off takes its share with it.

--- a/internal/edge/sqlimiter/borrow.go
+++ b/internal/edge/sqlimiter/borrow.go
@@ -141,27 +141,28 @@
 	return next
 }
 
-// runRound asks lenders for tokens: those of the own region in turn, then those of other
-// regions at once.
+// runRound asks lenders for tokens: those of the own region, then those of other regions.
+// For few tokens those of the own region are asked in turn.
 func (l *Limiter) runRound(w sqid.WorkspaceID, a *account, from []Member, want squnit.Tokens) {
 	start, missing := time.Now(), want
-	var far []Member
+	var near, far []Member
 	for _, m := range from {
-		if !m.Near {
+		if m.Near {
+			near = append(near, m)
+		} else {
 			far = append(far, m)
-		} else if missing > 0 {
-			missing -= l.askOne(w, a, m, missing)
 		}
 	}
-	if missing > 0 && len(far) > 0 {
-		n := min(len(far), int(math.Ceil(float64(missing)/tokensPerAsk)))
-		part := squnit.Tokens(math.Ceil(float64(missing) / float64(n)))
-		var asks sync.WaitGroup
-		for _, m := range far[:n] {
-			asks.Go(func() { l.askOne(w, a, m, part) })
+	if want > tokensPerAsk {
+		missing -= l.askAtOnce(w, a, near, missing)
+	} else {
+		for _, m := range near {
+			if missing > 0 {
+				missing -= l.askOne(w, a, m, missing)
+			}
 		}
-		asks.Wait()
 	}
+	l.askAtOnce(w, a, far, missing)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a.rounds--
@@ -170,6 +171,27 @@
 	a.notify()
 }
 
+// askAtOnce asks as many lenders as the tokens may need for a part of them each, all at the
+// same time, and returns how many tokens they lent.
+func (l *Limiter) askAtOnce(w sqid.WorkspaceID, a *account, lenders []Member, want squnit.Tokens) squnit.Tokens {
+	if want <= 0 || len(lenders) == 0 {
+		return 0
+	}
+	n := min(len(lenders), int(math.Ceil(float64(want)/tokensPerAsk)))
+	part := squnit.Tokens(math.Ceil(float64(want) / float64(n)))
+	lent := make([]squnit.Tokens, n)
+	var asks sync.WaitGroup
+	for i, m := range lenders[:n] {
+		asks.Go(func() { lent[i] = l.askOne(w, a, m, part) })
+	}
+	asks.Wait()
+	sum := squnit.Tokens(0)
+	for _, t := range lent {
+		sum += t
+	}
+	return sum
+}
+
 // askOne asks one lender for tokens, adds what it lends, and returns the number.
 func (l *Limiter) askOne(w sqid.WorkspaceID, a *account, m Member, want squnit.Tokens) squnit.Tokens {
 	l.mu.Lock()
--- a/internal/policy/sqshare/part.go
+++ b/internal/policy/sqshare/part.go
@@ -23,7 +23,7 @@
 	// with less, most requests would find a share empty while others have tokens.
 	minShareBurst = 4
 	// fewShareBurst is the burst of a share if only some daemons have one.
-	fewShareBurst = 16
+	fewShareBurst = 7
 	// lenderReserve is the time for which a lender keeps enough tokens for its own
 	// demand.
 	lenderReserve = 100 * time.Millisecond
