Rate limiter: a number of tokens that is not one counts as none

Cause: an answer to a borrow call with NaN tokens went on as a count of what is missing; the conversion to an int differs between machines, and a negative one panics outside of any call (TestOddBorrowMessages, failed before).

--- a/internal/edge/sqlimiter/borrow.go
+++ b/internal/edge/sqlimiter/borrow.go
@@ -204,9 +204,9 @@
 }
 
 // endRound pauses borrowing once every lender, or those of maxEmptyRounds rounds, have been
-// asked and none had tokens, with a longer pause after each further empty round. While a workspace exceeds its rate
-// everywhere there are no tokens to borrow, and in a large fleet there is always one more
-// lender to ask.
+// asked and none had tokens, with a longer pause after each further empty round. While a
+// workspace exceeds its rate everywhere there are no tokens to borrow, and in a large fleet
+// there is always one more lender to ask.
 func (a *account) endRound(now, start time.Time) {
 	if !a.lastBorrowed.Before(start) {
 		a.emptyRounds = 0
@@ -249,9 +249,11 @@
 		l.unreachable[m.ID] = now.Add(unreachableBackoff)
 		return 0
 	}
-	lent := min(want, squnit.Tokens(max(0, answer.GetTokens())))
+	lent := squnit.Tokens(0)
 	known := a.lenders[m.ID]
-	if lent > 0 {
+	// The comparison is false for a number that is not one.
+	if t := squnit.Tokens(answer.GetTokens()); t > 0 {
+		lent = min(want, t)
 		a.Borrow(now, lent)
 		a.lastBorrowed, known = now, lender{lastLent: now}
 		a.notify()
--- a/internal/edge/sqlimiter/limiter.go
+++ b/internal/edge/sqlimiter/limiter.go
@@ -308,7 +308,8 @@
 // demand.
 func (l *Limiter) lend(ctx context.Context, w sqid.WorkspaceID, want squnit.Tokens, toHolder bool) (squnit.Tokens, time.Duration) {
 	plan, limited := l.Plans.Plan(w)
-	if !limited {
+	// The comparison is false for a number that is not one.
+	if !limited || !(want > 0) {
 		return 0, maxBackoff
 	}
 	l.mu.Lock()
--- a/internal/edge/sqlimiter/limiter_test.go
+++ b/internal/edge/sqlimiter/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -380,6 +381,26 @@
 	qt.Assert(t, given, qt.Equals, squnit.Tokens(0))
 }
 
+// TestOddBorrowMessages passes numbers of tokens that no daemon of this build sends, as a
+// borrow call and as its answer. They count as none.
+func TestOddBorrowMessages(t *testing.T) {
+	for _, odd := range []float64{math.NaN(), math.Inf(-1), -1, 0} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newFakeFleet(16, sqlimit.Capacity{Rate: 1, Burst: 99})
+			p := w.limiters[0]
+			p.Tick(time.Now())
+			lent, _ := p.lend(t.Context(), "w", squnit.Tokens(odd), false)
+			qt.Check(t, lent, qt.Equals, squnit.Tokens(0), qt.Commentf("asked for %v", odd))
+			a := p.accounts["w"]
+			qt.Check(t, a.waiting, qt.Equals, 0)
+			got := p.noteAnswer(a, Member{}, 3, &sqpartwire.BorrowAnswer{Tokens: odd}, nil)
+			qt.Check(t, got, qt.Equals, squnit.Tokens(0), qt.Commentf("answer %v", odd))
+			got = p.noteAnswer(a, Member{}, 3, &sqpartwire.BorrowAnswer{Tokens: math.Inf(1), NextUs: math.MaxInt64}, nil)
+			qt.Check(t, got, qt.Equals, squnit.Tokens(3))
+		})
+	}
+}
+
 // cancelledAfter is a context whose Err is nil for a number of calls, and Canceled after
 // them.
 type cancelledAfter struct {
