--- a/internal/edge/sqlimiter/size_test.go
+++ b/internal/edge/sqlimiter/size_test.go
@@ -115,34 +115,57 @@
 	return refused
 }
 
-// TestWithinPlanAtAnySize sends requests within a plan in fleets of several sizes. Every
-// connection has to be opened first. The fleet may lose at most maxLoss more than a single
-// bucket for the whole plan would, and must not exceed the plan.
+// sizes and plans are the fleets and the plans of the tests below. Every connection between
+// daemons has to be opened first.
+var (
+	sizes = []int{16, 78, 194, 3600}
+	plans = []sqlimit.Capacity{{Rate: 5, Burst: 5}, {Rate: 14, Burst: 14}, {Rate: 80, Burst: 80}}
+)
+
+// durationFor is the time in which a load of 0.7 of a plan sends about 1,200 requests.
+func durationFor(plan sqlimit.Capacity) time.Duration {
+	return time.Duration(1200 / 0.7 / float64(plan.Rate) * float64(time.Second))
+}
+
+// checkLoss plays requests within a plan. The fleet may lose at most maxLoss more than a
+// single bucket for the whole plan would, and must not exceed the plan.
+func checkLoss(t *testing.T, daemons int, plan sqlimit.Capacity, arrivals []arrival) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newFakeFleet(daemons, plan)
+		w.opened = make(map[[2]int]bool)
+		refused := w.play(plan, arrivals)
+		least := refusedByOneBucket(plan, arrivals)
+		loss := float64(refused-least) / float64(len(arrivals))
+		t.Logf("%d sent, %d refused, by one bucket %d: loss %.4f, excess %.1f, %.1f borrow calls a second",
+			len(arrivals), refused, least, loss, w.excess(plan), float64(w.asks.Load())/durationFor(plan).Seconds())
+		qt.Check(t, loss <= maxLoss, qt.IsTrue, qt.Commentf("loss %.4f", loss))
+		qt.Check(t, w.excess(plan) <= 1, qt.IsTrue, qt.Commentf("excess %.1f", w.excess(plan)))
+	})
+}
+
+// TestWithinPlanAtAnySize sends requests within a plan in fleets of several sizes.
 func TestWithinPlanAtAnySize(t *testing.T) {
-	// requests is about the number of requests in one play.
-	const requests = 1200
-	for _, daemons := range []int{16, 78, 194, 3600} {
-		for _, plan := range []sqlimit.Capacity{{Rate: 5, Burst: 5}, {Rate: 14, Burst: 14}, {Rate: 80, Burst: 80}} {
-			duration := time.Duration(requests / 0.7 / float64(plan.Rate) * float64(time.Second))
-			loads := map[string][]arrival{"in bursts": clientBursts(rand.New(rand.NewPCG(3, 4)), int(plan.Burst), duration, daemons)}
+	for _, daemons := range sizes {
+		for _, plan := range plans {
 			for name, pattern := range demandPatterns {
-				loads[name] = poisson(rand.New(rand.NewPCG(1, 2)), 0.7*float64(plan.Rate), duration, daemons, pattern)
-			}
-			for name, arrivals := range loads {
 				t.Run(fmt.Sprintf("%d daemons, %v a second, %s", daemons, plan.Rate, name), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) {
-						w := newFakeFleet(daemons, plan)
-						w.opened = make(map[[2]int]bool)
-						refused := w.play(plan, arrivals)
-						least := refusedByOneBucket(plan, arrivals)
-						loss := float64(refused-least) / float64(len(arrivals))
-						t.Logf("%d sent, %d refused, by one bucket %d: loss %.4f, excess %.1f, %.1f borrow calls a second",
-							len(arrivals), refused, least, loss, w.excess(plan), float64(w.asks.Load())/duration.Seconds())
-						qt.Check(t, loss <= maxLoss, qt.IsTrue, qt.Commentf("loss %.4f", loss))
-						qt.Check(t, w.excess(plan) <= 1, qt.IsTrue, qt.Commentf("excess %.1f", w.excess(plan)))
-					})
+					rng := rand.New(rand.NewPCG(1, 2))
+					checkLoss(t, daemons, plan, poisson(rng, 0.7*float64(plan.Rate), durationFor(plan), daemons, pattern))
 				})
 			}
 		}
 	}
 }
+
+// TestWholeBurstAtAnySize sends the burst of a whole plan at once, by one client to one
+// daemon, in fleets of several sizes.
+func TestWholeBurstAtAnySize(t *testing.T) {
+	for _, daemons := range sizes {
+		for _, plan := range plans {
+			t.Run(fmt.Sprintf("%d daemons, %v a second", daemons, plan.Rate), func(t *testing.T) {
+				rng := rand.New(rand.NewPCG(3, 4))
+				checkLoss(t, daemons, plan, clientBursts(rng, int(plan.Burst), durationFor(plan), daemons))
+			})
+		}
+	}
+}
