Targets: a daemon remembers the leaving of an instance that it does not know

The leaving of an unknown instance left no trace, and a heartbeat sent before it, which arrived 2.6 s later, brought the instance back.

--- a/internal/edge/sqgate/targets.go
+++ b/internal/edge/sqgate/targets.go
@@ -183,13 +183,20 @@
 
 // Remove removes a target that has ended, as it said itself or as another target at
 // its address shows. If it has an incarnation, only a later one can add it again
-// within removedRetention: other announcements of it are taken for delayed ones. It
-// reports whether the target was known.
+// within removedRetention: other announcements of it are taken for delayed ones. Of a
+// target that is not known, as to a daemon that has just started, all incarnations that
+// began before now count as ended. It reports whether the target was known.
 func (t *Targets) Remove(id sqid.TargetID) bool {
+	now := time.Now()
 	row, ok := t.rows.Get(id)
-	if ok && row.Incarnation > 0 {
-		row.Announced = time.Now()
-		t.removed.Put(id, row)
+	if !ok {
+		row = LocalTarget{ID: id, Incarnation: sqid.Incarnation(now.UnixMilli())}
+	}
+	if row.Incarnation > 0 {
+		row.Announced = now
+		if _, removed := t.removed.Get(id); ok || !removed {
+			t.removed.Put(id, row)
+		}
 	}
 	return t.drop(id)
 }
