--- a/internal/edge/sqdaemon/adapter.go
+++ b/internal/edge/sqdaemon/adapter.go
@@ -291,7 +291,7 @@
 		return errors.New("no catalog is known yet")
 	case d.member.Alone() && now.Sub(d.startTime) < joinTimeout:
 		return errors.New("no peers are known yet")
-	case !d.seedRecords.Settled() && now.Sub(d.startTime) < joinTimeout:
+	case now.Sub(d.startTime) < joinTimeout && !d.seedRecords.Settled():
 		return errors.New("the data centre's seed record does not list its daemons yet")
 	}
 	return nil
--- a/internal/edge/sqlimiter/limiter.go
+++ b/internal/edge/sqlimiter/limiter.go
@@ -42,9 +42,10 @@
 	chargeTimeout = 200 * time.Millisecond
 	// maxAsksPerRound bounds the lenders that are asked for few tokens in one round.
 	maxAsksPerRound = 4
-	// minBackoff and maxBackoff bound how long a holder that lent less than was asked
-	// for is not asked again. The time doubles with each such answer, so that holders
-	// farther away are asked too.
+	// minBackoff and maxBackoff bound how long a lender that lent nothing is not asked
+	// again. Among holders, one that lent less than was asked for is not asked again
+	// either, and the time doubles with each such answer, so that holders farther away
+	// are asked too.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
 	// maxRetryAfter bounds the time after which a refused caller is told to come back. A
@@ -340,7 +341,7 @@
 	limiter *Limiter
 }
 
-// Borrow lends tokens of the daemon's own share.
+// Borrow lends tokens that the daemon holds.
 func (s *server) Borrow(ctx context.Context, r *sqpartwire.BorrowRequest) (*sqpartwire.BorrowAnswer, error) {
 	lent, next := s.limiter.lend(ctx, sqid.WorkspaceID(r.GetWorkspace()), squnit.Tokens(r.GetTokens()), r.GetHolder())
 	return &sqpartwire.BorrowAnswer{Tokens: float64(lent), NextUs: next.Microseconds()}, nil
--- a/internal/policy/sqshare/part.go
+++ b/internal/policy/sqshare/part.go
@@ -102,8 +102,9 @@
 	}
 	slices.SortFunc(ranking, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.place, b.place), byRank(a, b)) })
 	var roles Roles
-	for i, r := range ranking[:min(len(ranking), max(len(places), HolderCount(plan, len(members))))] {
-		if i < HolderCount(plan, len(members)) {
+	holders := HolderCount(plan, len(members))
+	for i, r := range ranking[:min(len(ranking), max(len(places), holders))] {
+		if i < holders {
 			roles.Holders = append(roles.Holders, r.ID)
 		}
 		if r.place == 0 {
