--- a/review/standin/second_copy.go
+++ b/review/standin/second_copy.go
@@ -72,9 +72,14 @@
 		copies++
 		return true, copyDelay
 	}
+	tracking, err := newInstance(r, "i-tracking", f.machines["side-2"], viewWork)
+	if err != nil {
+		return nil, err
+	}
 	stop := make(chan struct{})
 	defer close(stop)
 	go orders.announce(stop)
+	go tracking.announce(stop)
 	time.Sleep(stable + time.Second)
 
 	end := make(chan struct{})
