--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -21,7 +21,9 @@
 	status int
 	body   string
 	signed bool
-	err    error
+	// kept is set if the connection had served a request before.
+	kept bool
+	err  error
 }
 
 // client sends requests on one kept connection to a machine's outbound address.
@@ -30,6 +32,8 @@
 	machine *machine
 	conn    net.Conn
 	in      *bufio.Reader
+	// used is set once the connection has served a request.
+	used bool
 }
 
 // send sends one request and reads its answer. It opens a connection if there is none;
@@ -40,9 +44,9 @@
 		if err != nil {
 			return sent{err: err}
 		}
-		c.conn, c.in = conn, bufio.NewReader(conn)
+		c.conn, c.in, c.used = conn, bufio.NewReader(conn), false
 	}
-	s := sent{id: fmt.Sprintf("%016x", rand.Uint64()), at: time.Now()}
+	s := sent{id: fmt.Sprintf("%016x", rand.Uint64()), at: time.Now(), kept: c.used}
 	_ = c.conn.SetDeadline(s.at.Add(deadline))
 	body := ""
 	if method == http.MethodPost {
@@ -65,6 +69,7 @@
 		c.close()
 		return s
 	}
+	c.used = true
 	s.status, s.body, s.signed = resp.StatusCode, string(text), resp.Header.Get("Response-Signature") != ""
 	c.add("client of %s: %s got %d, signature %v, body %q", c.machine.name, s.id, s.status, s.signed, s.body)
 	if resp.Close {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -41,8 +42,14 @@
 // apiKey is the key of the only tenant.
 const apiKey = "6wsjnbanfqasnmgkcuyj"
 
-// spec describes one machine.
-type spec struct{ name, zone, region, service string }
+// spec describes one machine. memoryMB is its memory, 0 for usualMemoryMB.
+type spec struct {
+	name, zone, region, service string
+	memoryMB                    int
+}
+
+// usualMemoryMB is the memory of a machine in the first deployments.
+const usualMemoryMB = 284
 
 // machine is a machine with its daemon.
 type machine struct {
@@ -64,6 +71,9 @@
 	machines  map[string]*machine
 }
 
+// retrySlack is the bound retry_slack of the settings, a number in TOML.
+var retrySlack = "48"
+
 // route is a route of the configuration.
 type route struct {
 	prefix, kind, service string
@@ -141,7 +151,7 @@
 		"listen.ready": m.address(portReady), "listen.control": m.address(portControl), "app_addr": m.address(portApp),
 		"internal_port_range.0": portInternal, "internal_port_range.1": portInternalLast,
 		"platform.address": fmt.Sprintf("%s:%d", f.storeIP, portStore), "heartbeat": fmt.Sprintf("%dms", heartbeat.Milliseconds()),
-		"limits.memory_mb": 284, "bounds.grace": "6s", "bounds.retry_budget_ratio": 0.2, "bounds.retry_window": "10s", "bounds.retry_slack": 48,
+		"limits.memory_mb": cmp.Or(m.memoryMB, usualMemoryMB), "bounds.grace": "6s", "bounds.retry_budget_ratio": 0.2, "bounds.retry_window": "10s", "bounds.retry_slack": json.Number(retrySlack),
 	}
 	regions := make(map[string]string)
 	for _, s := range specs {
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -31,13 +32,21 @@
 	// shed, if set, reports whether the instance is too full to run a request, and the
 	// time after which it sends a second copy of that answer; 0 sends none.
 	shed func(id, path string) (full bool, copyAfter time.Duration)
+	// endless, if set, reports whether the instance sends a body without end.
+	endless func() bool
 	// workFor, if set, replaces work by the time that a request for a path takes.
 	workFor func(path string) time.Duration
 
 	mu    sync.Mutex
 	state string
 	seq   int
-	runs  []run
+	// runs are the runs that have ended.
+	runs []run
+	// began has all runs, without their ends.
+	began []run
+	conns map[net.Conn]bool
+	// listener accepts the connections.
+	listener net.Listener
 	// answered has the times of all answers.
 	answered []time.Time
 }
@@ -47,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	i := &instance{record: r, id: id, machine: m, born: time.Now().UnixMilli(), slots: 88, work: work, state: "ready"}
+	i := &instance{record: r, id: id, machine: m, born: time.Now().UnixMilli(), slots: 88, work: work, state: "ready", listener: l, conns: make(map[net.Conn]bool)}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -92,7 +101,11 @@
 }
 
 func (i *instance) serve(c net.Conn) {
-	defer c.Close()
+	i.track(c, true)
+	defer func() {
+		i.track(c, false)
+		_ = c.Close()
+	}()
 	in := bufio.NewReader(c)
 	var out sync.Mutex
 	for {
@@ -134,6 +147,17 @@
 	}
 }
 
+// track adds an open connection, or removes one.
+func (i *instance) track(c net.Conn, open bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if open {
+		i.conns[c] = true
+	} else {
+		delete(i.conns, c)
+	}
+}
+
 func (i *instance) write(out *sync.Mutex, c net.Conn, text string) bool {
 	out.Lock()
 	defer out.Unlock()
@@ -161,6 +185,12 @@
 func (i *instance) run(out *sync.Mutex, c net.Conn, id string, r *http.Request, body []byte) bool {
 	x := run{id: id, instance: i.id, arrived: time.Now()}
 	i.add("instance %s: runs %s", i.id, id)
+	i.mu.Lock()
+	i.began = append(i.began, x)
+	i.mu.Unlock()
+	if i.endless != nil && i.endless() {
+		return i.sendEndless(out, c, id)
+	}
 	work, status := i.work, "200 OK"
 	if i.workFor != nil {
 		work = i.workFor(r.URL.Path)
@@ -180,6 +210,42 @@
 	return ok
 }
 
+// sendEndless answers with a body that ends only when the caller closes the connection.
+func (i *instance) sendEndless(out *sync.Mutex, c net.Conn, id string) bool {
+	out.Lock()
+	defer out.Unlock()
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\n\r\n", id, id)
+	noise := make([]byte, 32<<10)
+	for err == nil {
+		_, err = c.Write(noise)
+	}
+	i.add("instance %s: the caller closed the connection of %s", i.id, id)
+	return false
+}
+
+// startedRuns returns the runs that have begun.
+func (i *instance) startedRuns() []run {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return append([]run(nil), i.began...)
+}
+
+// hasStarted reports whether a request has begun to run.
+func (i *instance) hasStarted(id string) bool {
+	return slices.ContainsFunc(i.startedRuns(), func(x run) bool { return x.id == id })
+}
+
+// exit ends the instance: it closes its address and all connections.
+func (i *instance) exit() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	_ = i.listener.Close()
+	for c := range i.conns {
+		_ = c.Close()
+	}
+	i.add("instance %s ended", i.id)
+}
+
 // allRuns returns the runs that have ended.
 func (i *instance) allRuns() []run {
 	i.mu.Lock()
--- a/review/standin/late_beat.go
+++ b/review/standin/late_beat.go
@@ -6,13 +6,9 @@
 	"time"
 )
 
-const (
-	// beatDelay is how late the instance's last heartbeat arrives, counted from the
-	// deregistration before which it was made.
-	beatDelay = 2 * time.Second
-	// linger is how long the instance serves after its leaving is acknowledged.
-	linger = 10 * time.Second
-)
+// beatDelay is how late the instance's last heartbeat arrives, counted from the
+// deregistration before which it was made.
+const beatDelay = 2 * time.Second
 
 // lateBeat has an instance deregister and serve on for some seconds, as instances do that
 // never report that they drain. With the disruption, the daemon on its machine is killed
@@ -28,7 +24,7 @@
 	defer close(stop)
 	go leaving.announce(stopLeaving)
 	go staying.announce(stop)
-	clientsDone := f.readFrom("side-2", end)
+	orders := f.orderFrom("side-2", end)
 	time.Sleep(stable + 2*time.Second)
 
 	close(stopLeaving)
@@ -50,7 +46,7 @@
 	ok := leaving.machine.call("instances.heartbeat", leaving.id, late)
 	r.add("a heartbeat of %s, made before its deregistration, arrives: acknowledged %v", leaving.id, ok)
 	time.Sleep(time.Until(acked.Add(linger)))
+	leaving.exit()
 	close(end)
-	<-clientsDone
-	return checkLeft(leaving, staying, acked)
+	return checkLeft(leaving, staying, acked, <-orders)
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,8 @@
 	"second-copy":  secondCopy,
 	"late-beat":    lateBeat,
 	"odd-beat":     oddBeat,
+	"fraction":     fraction,
+	"endless-body": endlessBody,
 	"planned-stop": plannedStop,
 }
 
--- a/review/standin/planned_stop.go
+++ b/review/standin/planned_stop.go
@@ -23,9 +23,9 @@
 // zone's daemons are in.
 func plannedStop(r *record, root string, trouble, keepLogs bool) ([]string, error) {
 	specs := []spec{
-		{"side-1", "puebla-centro", "puebla", "tracking"},
-		{"side-2", "puebla-norte", "puebla", "orders"},
-		{"side-3", "puebla-norte", "puebla", "orders"},
+		{"side-1", "puebla-centro", "puebla", "tracking", 0},
+		{"side-2", "puebla-norte", "puebla", "orders", 0},
+		{"side-3", "puebla-norte", "puebla", "orders", 0},
 	}
 	routes := []route{{prefix: "/order/", kind: "unsafe", service: "orders", timeout: 4 * time.Second, attempts: 2}}
 	f, err := newFleet(r, root, specs, []string{"orders", "tracking"}, routes)
--- a/review/standin/second_copy.go
+++ b/review/standin/second_copy.go
@@ -28,7 +28,7 @@
 // disruption it sends such an answer twice, the second copy late, on the connection that
 // is in use again.
 func secondCopy(r *record, root string, trouble, keepLogs bool) ([]string, error) {
-	specs := []spec{{"side-1", "puebla-centro", "puebla", "orders"}, {"side-2", "puebla-norte", "puebla", "tracking"}}
+	specs := []spec{{"side-1", "puebla-centro", "puebla", "orders", 0}, {"side-2", "puebla-norte", "puebla", "tracking", 0}}
 	routes := []route{
 		{prefix: "/order/", kind: "unsafe", service: "orders", timeout: 4 * time.Second, attempts: 3},
 		{prefix: "/view/", kind: "safe", service: "orders", timeout: 4 * time.Second, attempts: 2},
