--- a/review/standin/endless_body.go
+++ b/review/standin/endless_body.go
@@ -20,47 +20,40 @@
 	smallMemoryMB = 184
 	// manySlots is the number of slots of an instance there.
 	manySlots = 108
-	// endlessTime is how long the faulty instances send bodies without end.
+	// endlessTime is how long the faulty instance sends bodies without end.
 	endlessTime = 5 * time.Second
-	// viewRate is the number of requests a second that the machine's clients send to
-	// the services whose instances are faulty, viewChunk and viewPause how fast each of
-	// them reads its answer.
-	viewRate  = 50
+	// viewRate is the number of requests a second that the clients of the other machines
+	// send to the faulty instance's service, viewChunk and viewPause how fast each of them
+	// reads its answer.
+	viewRate  = 40
 	viewChunk = 64 << 10
 	viewPause = 100 * time.Millisecond
-	// viewTimeout is their routes' timeout.
-	viewTimeout = 5 * time.Second
-	// uploadClients is the number of clients with kept connections that send to a sound
-	// service.
-	uploadClients = 12
-	uploadWork    = 300 * time.Millisecond
+	// viewTimeout is their route's timeout.
+	viewTimeout = 4 * time.Second
+	// designClients is the number of clients with kept connections that send to a sound
+	// service, and designWork the time that this takes.
+	designClients = 12
+	designWork    = 300 * time.Millisecond
 )
 
-// viewPaths lead to the services whose instances are faulty.
-var viewPaths = []string{"/order/x", "/track/x", "/pattern/x"}
+// viewMachines are the machines whose clients read from the faulty instance.
+var viewMachines = []string{"side-2", "side-3", "side-4"}
 
-// endlessBody has the clients of one machine read from three services on other machines,
-// and others send to a sound service. With the disruption, the instances of the first
-// three send bodies that don't end until their caller closes the connection.
+// endlessBody has the clients of three machines read from an instance on a fourth, whose
+// own clients send to a sound service. With the disruption, that instance sends bodies
+// that don't end until their caller closes the connection.
 func endlessBody(r *record, root string, trouble, keepLogs bool) ([]string, error) {
 	specs := []spec{
-		{"side-1", "puebla-centro", "puebla", "orders", 0},
-		{"side-2", "puebla-norte", "puebla", "tracking", 0},
-		{"side-3", "puebla-centro", "puebla", "designs", 0},
-		{"side-4", "puebla-norte", "puebla", "designs", 0},
-		{"side-5", "puebla-norte", "puebla", "patterns", 0},
-		{"side-6", "puebla-norte", "puebla", "designs", 0},
+		{"side-1", "puebla-centro", "puebla", "orders", smallMemoryMB},
+		{"side-2", "puebla-centro", "puebla", "designs", smallMemoryMB},
+		{"side-3", "puebla-norte", "puebla", "designs", smallMemoryMB},
+		{"side-4", "puebla-norte", "puebla", "tracking", smallMemoryMB},
 	}
 	routes := []route{
 		{prefix: "/order/", kind: "safe", service: "orders", timeout: viewTimeout, attempts: 2},
-		{prefix: "/track/", kind: "safe", service: "tracking", timeout: viewTimeout, attempts: 2},
-		{prefix: "/pattern/", kind: "safe", service: "patterns", timeout: viewTimeout, attempts: 2},
-		{prefix: "/design/", kind: "unsafe", service: "designs", timeout: 4 * time.Second, attempts: 2},
+		{prefix: "/design/", kind: "unsafe", service: "designs", timeout: viewTimeout, attempts: 2},
 	}
-	for i := range specs {
-		specs[i].memoryMB = smallMemoryMB
-	}
-	f, err := newFleet(r, root, specs, []string{"orders", "tracking", "designs", "patterns"}, routes)
+	f, err := newFleet(r, root, specs, []string{"orders", "tracking", "designs"}, routes)
 	if err != nil {
 		return nil, err
 	}
@@ -78,10 +71,11 @@
 			return nil, err
 		}
 		i.slots = manySlots
-		if s.service == "designs" {
-			i.work = uploadWork
+		switch s.service {
+		case "designs":
+			i.work = designWork
 			sound = append(sound, i)
-		} else {
+		case "orders":
 			i.endless = faulty.Load
 		}
 		go i.announce(stop)
@@ -89,16 +83,18 @@
 	time.Sleep(stable + time.Second)
 
 	end := make(chan struct{})
-	var clients sync.WaitGroup
-	entry := f.machines["side-3"]
-	killed := make(chan time.Time, 1)
-	go f.limitMemory(entry, end, killed)
-	clients.Go(func() { f.readOpenLoop(entry, end, &clients) })
+	var clients, watches sync.WaitGroup
+	ends := make(map[string]*atomic.Int64)
+	for name, m := range f.machines {
+		ends[name] = new(atomic.Int64)
+		watches.Go(func() { f.limitMemory(m, end, ends[name]) })
+	}
+	clients.Go(func() { f.readOpenLoop(end, &clients) })
 	var mu sync.Mutex
 	var answers []sent
-	for range uploadClients {
+	for range designClients {
 		clients.Go(func() {
-			c := &client{record: r, machine: entry}
+			c := &client{record: r, machine: f.machines["side-1"]}
 			defer c.close()
 			taken := c.repeat(end, http.MethodPost, "/design/x", time.Millisecond)
 			mu.Lock()
@@ -108,7 +104,7 @@
 	}
 	time.Sleep(stable)
 	if trouble {
-		r.add("the instances of orders, tracking and patterns send bodies without end from here, for %v", endlessTime)
+		r.add("the instance of orders sends bodies without end from here, for %v", endlessTime)
 		faulty.Store(true)
 	}
 	time.Sleep(endlessTime)
@@ -116,21 +112,18 @@
 	time.Sleep(time.Second)
 	close(end)
 	clients.Wait()
+	watches.Wait()
 	time.Sleep(time.Second)
-
-	var ended time.Time
-	select {
-	case ended = <-killed:
-	default:
-	}
-	return checkKept(answers, sound, ended)
+	return checkKept(answers, sound, ends["side-1"].Load())
 }
 
-// limitMemory kills a machine's daemon once it exceeds the memory of its machine, as the
-// platform does, and starts it again.
-func (f *fleet) limitMemory(m *machine, end <-chan struct{}, killed chan<- time.Time) {
+// limitMemory kills a machine's daemon each time it exceeds the memory of its machine, as
+// the platform does, and starts it again.
+func (f *fleet) limitMemory(m *machine, end <-chan struct{}, ends *atomic.Int64) {
 	most := 0
-	defer func() { f.add("daemon of %s: at most %d MB", m.name, most/1e6) }()
+	defer func() {
+		f.add("daemon of %s: at most %d MB, killed %d times", m.name, most/1e6, ends.Load())
+	}()
 	for {
 		select {
 		case <-end:
@@ -143,14 +136,14 @@
 			continue
 		}
 		f.add("daemon of %s uses %d MB, more than the %d MB of its machine", m.name, used/1e6, smallMemoryMB)
-		killed <- time.Now()
+		ends.Add(1)
 		f.signal(m.name, syscall.SIGKILL)
 		<-m.exited
 		time.Sleep(restartDelay)
 		if err := f.start(m.name); err != nil {
 			f.add("%v", err)
+			return
 		}
-		return
 	}
 }
 
@@ -172,7 +165,7 @@
 
 // readOpenLoop sends viewRate requests a second until end is closed, each on a connection
 // of its own.
-func (f *fleet) readOpenLoop(m *machine, end <-chan struct{}, clients *sync.WaitGroup) {
+func (f *fleet) readOpenLoop(end <-chan struct{}, clients *sync.WaitGroup) {
 	ticker := time.NewTicker(time.Second / viewRate)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
@@ -181,8 +174,8 @@
 			return
 		case <-ticker.C:
 		}
-		path := viewPaths[n%len(viewPaths)]
-		clients.Go(func() { f.readSlowly(m, path) })
+		m := f.machines[viewMachines[n%len(viewMachines)]]
+		clients.Go(func() { f.readSlowly(m, "/order/x") })
 	}
 }
 
@@ -213,8 +206,8 @@
 }
 
 // checkKept checks that no more than three requests from kept connections that had been
-// passed on to a sound instance ended without an answer as the daemon ended by itself.
-func checkKept(answers []sent, sound []*instance, ended time.Time) ([]string, error) {
+// passed on to a sound instance ended without an answer, while the daemon ended by itself.
+func checkKept(answers []sent, sound []*instance, ends int64) ([]string, error) {
 	passedOn := make(map[string]string)
 	for _, i := range sound {
 		for _, x := range i.startedRuns() {
@@ -227,7 +220,7 @@
 		if s.status == http.StatusOK {
 			served++
 		}
-		if s.status == 0 && passedOn[s.id] != "" && !ended.IsZero() && s.kept {
+		if s.status == 0 && passedOn[s.id] != "" && ends > 0 && s.kept {
 			cut = append(cut, fmt.Sprintf("LOST: %s, passed on to %s, got no answer: %v", s.id, passedOn[s.id], s.err))
 		}
 	}
