--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,7 +19,8 @@
 // cases are the scripted cases by their names. A case returns what broke the rule, one line
 // each, or an error if it could not run.
 var cases = map[string]func(*fleet) ([]string, error){
-	"early-answer": earlyAnswer,
+	"early-answer":        earlyAnswer,
+	"forgotten-departure": forgottenDeparture,
 }
 
 func main() {
