--- a/review/standin-2/instance.go
+++ b/review/standin-2/instance.go
@@ -32,6 +32,8 @@
 	silent atomic.Bool
 	// answersEarly says when the instance answers a request; nil stands for onTime.
 	answersEarly func(r *http.Request) timing
+	// answers, if not nil, answers the requests; an error ends the connection.
+	answers func(c net.Conn, r *http.Request) error
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -117,6 +119,9 @@
 		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, i.id)
 		return err
 	}
+	if i.answers != nil {
+		return i.answers(c, r)
+	}
 	early := onTime
 	if i.answersEarly != nil {
 		early = i.answersEarly(r)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(*fleet) ([]string, error){
 	"early-answer":        earlyAnswer,
 	"forgotten-departure": forgottenDeparture,
+	"cut-answer":          cutAnswer,
 }
 
 func main() {
