--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,6 +22,7 @@
 	"early-answer":        earlyAnswer,
 	"forgotten-departure": forgottenDeparture,
 	"cut-answer":          cutAnswer,
+	"holed-upload":        holedUpload,
 }
 
 func main() {
