--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -30,6 +31,8 @@
 	id        string
 	signature string
 	body      string
+	// retryAfter is the time after which the client is to come back.
+	retryAfter time.Duration
 }
 
 func (a answer) String() string {
@@ -52,8 +55,10 @@
 	if err != nil {
 		return answer{}, err
 	}
+	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 	return answer{
-		status: resp.StatusCode, id: resp.Header.Get("Request-Id"), signature: resp.Header.Get("Response-Signature"),
+		retryAfter: min(time.Duration(seconds*float64(time.Second)), callerTimeout/3),
+		status:     resp.StatusCode, id: resp.Header.Get("Request-Id"), signature: resp.Header.Get("Response-Signature"),
 		body: strings.TrimSpace(string(body)),
 	}, nil
 }
--- a/review/standin-2/instance.go
+++ b/review/standin-2/instance.go
@@ -21,11 +21,13 @@
 
 // instance is a stand-in of an instance. It serves one request at a time on a connection.
 type instance struct {
-	fleet    *fleet
-	host     *host
-	id       string
-	born     int64
-	seq      atomic.Int64
+	fleet *fleet
+	host  *host
+	id    string
+	born  int64
+	seq   atomic.Int64
+	// slots are the slots that it announces.
+	slots    int
 	listener net.Listener
 	ended    chan struct{}
 	// silent is set once it has said that it leaves: it sends no more heartbeats.
@@ -46,7 +48,7 @@
 	}
 	i := &instance{
 		fleet: f, host: h, id: "i-" + h.name, born: time.Now().UnixMilli(), listener: l, ended: make(chan struct{}),
-		conns: make(map[net.Conn]bool),
+		conns: make(map[net.Conn]bool), slots: instanceSlots,
 	}
 	go i.accept()
 	return i, nil
@@ -159,7 +161,7 @@
 func (i *instance) heartbeat(state string) []byte {
 	text, _ := json.Marshal(map[string]any{
 		"address": i.address(), "born": i.born,
-		"info":   map[string]any{"service": i.host.service, "version": "v1", "zone": i.host.zone, "slots": instanceSlots},
+		"info":   map[string]any{"service": i.host.service, "version": "v1", "zone": i.host.zone, "slots": i.slots},
 		"status": map[string]any{"state": state, "seq": i.seq.Add(1), "warmup_left": "0ms"},
 	})
 	return text
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,6 +23,7 @@
 	"forgotten-departure": forgottenDeparture,
 	"cut-answer":          cutAnswer,
 	"holed-upload":        holedUpload,
+	"refused-upload":      refusedUpload,
 }
 
 func main() {
