--- a/internal/edge/sqconn/exchange.go
+++ b/internal/edge/sqconn/exchange.go
@@ -219,12 +219,12 @@
 		if x.conn.pool.IsOwnAnswer == nil || x.conn.pool.IsOwnAnswer(resp.Header, x.r.ID) {
 			in.left = unlimited
 			x.noteIdleTimeout(resp)
-			resp.Body = &body{ReadCloser: resp.Body, x: x}
+			resp.Body = &body{ReadCloser: resp.Body, x: x, unframed: isUnframed(resp)}
 			return resp, nil
 		}
 		foreign++
 		x.conn.unusable = true
-		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if resp.Close || isUnframed(resp) {
 			break
 		}
 		in.left = maxForeignBytes
@@ -277,15 +277,27 @@
 	})
 }
 
+// isUnframed reports whether an answer's body ends with its connection.
+func isUnframed(answer *http.Response) bool {
+	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
+}
+
 // body is the body of an answer. The exchange ends with it.
 type body struct {
 	io.ReadCloser
-	x *exchange
+	x        *exchange
+	unframed bool
 }
 
-// Read reads the next part.
+// Read reads the next part. An answer that ends with its connection is complete only if the
+// target has closed that.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.unframed {
+		if failure := b.x.conn.out.stop(); failure != nil {
+			err = errors.Wrap(failure, "answer is incomplete")
+		}
+	}
 	if err != nil {
 		b.x.end(err == io.EOF)
 	}
--- a/internal/edge/sqconn/pool.go
+++ b/internal/edge/sqconn/pool.go
@@ -76,7 +76,9 @@
 	// in limits what br reads.
 	in *limitedReader
 	br *bufio.Reader
-	bw *bufio.Writer
+	// out is what bw writes to.
+	out *connWriter
+	bw  *bufio.Writer
 	// idleTimeout is how long the target keeps the connection open while idle. After
 	// expires, an idle connection is not reused.
 	idleTimeout time.Duration
@@ -159,10 +161,10 @@
 		p.endpoints[address] = &endpoint{}
 	}
 	p.endpoints[address].open++
-	in := &limitedReader{Reader: nc, left: unlimited}
+	in, out := &limitedReader{Reader: nc, left: unlimited}, &connWriter{Conn: nc}
 	return &conn{
 		Conn: nc, pool: p, address: address, idleTimeout: defaultIdleTimeout,
-		in: in, br: bufio.NewReaderSize(in, bufferBytes), bw: bufio.NewWriterSize(nc, bufferBytes),
+		in: in, br: bufio.NewReaderSize(in, bufferBytes), out: out, bw: bufio.NewWriterSize(out, bufferBytes),
 	}, nil
 }
 
