A sound answer is not cut because it is read slowly after a reset

Callers saw: an early answer to an upload cut in the middle, if the caller took over 50 ms to read it and the target had reset the connection after its answer.

Cause: any failure to send a request's body set a read deadline 50 ms ahead. After a failure of the connection the answer has arrived already.

--- a/internal/edge/sqconn/exchange.go
+++ b/internal/edge/sqconn/exchange.go
@@ -115,7 +115,7 @@
 		go func() {
 			defer close(x.written)
 			x.writeErr = x.write()
-			if x.writeErr != nil {
+			if x.writeErr != nil && !x.conn.out.hasFailed() {
 				// The target doesn't receive the whole body, so it may never answer.
 				_ = x.conn.SetReadDeadline(time.Now().Add(lateAnswerTimeout))
 			}
@@ -124,8 +124,9 @@
 	return x.readAnswer()
 }
 
-// lateAnswerTimeout bounds the wait for an answer after the sending of the request's
-// body has failed: the target may have answered already.
+// lateAnswerTimeout bounds the wait for an answer after the request's body could not be
+// read: the target may have answered already. After a failure of the connection no bound is
+// needed: what has arrived can be read, and then the end.
 const lateAnswerTimeout = 50 * time.Millisecond
 
 func (x *exchange) write() error {
--- a/internal/edge/sqconn/reset_test.go
+++ b/internal/edge/sqconn/reset_test.go
@@ -130,3 +130,33 @@
 		}
 	}
 }
+
+// TestSlowReaderAfterReset guards against a sound answer that is cut because it is read
+// slowly and the sending of the request's body has failed meanwhile.
+func TestSlowReaderAfterReset(t *testing.T) {
+	for _, head := range []string{"Connection: close", "Content-Length: 50000"} {
+		t.Run(head, func(t *testing.T) {
+			whole := strings.Repeat("whole", 10_000)
+			proceed := make(chan struct{}, 1)
+			address := serveRaw(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				if _, err := br.ReadString('\n'); err != nil {
+					return
+				}
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: 1\r\n%s\r\n\r\n%s", head, whole)
+				_ = c.(*net.TCPConn).CloseWrite()
+				<-proceed
+				resetConn(c.(*net.TCPConn))
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			resp, err := (&sqconn.Pool{IsOwnAnswer: hasID}).Do(ctx, address, upload("1", false))
+			qt.Assert(t, err, qt.IsNil)
+			proceed <- struct{}{}
+			<-sqconn.Written(resp)
+			time.Sleep(200 * time.Millisecond)
+			got, err := io.ReadAll(resp.Body)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, string(got) == whole, qt.IsTrue, qt.Commentf("%d of %d bytes", len(got), len(whole)))
+		})
+	}
+}
--- a/internal/edge/sqconn/writer.go
+++ b/internal/edge/sqconn/writer.go
@@ -31,6 +31,13 @@
 	return n, err
 }
 
+// hasFailed reports whether a write has failed.
+func (w *connWriter) hasFailed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.err != nil
+}
+
 // stop ends the writing for good, also a write that waits for the target, and returns the
 // failure of the connection that a write has got, nil if none has.
 func (w *connWriter) stop() error {
