A panic in the middle of an answer ends its connection

Callers would see: 200, complete, with the text of an error in place of the rest of the body, after a handler's panic.

Cause: recoverPanics wrote its 500 whether or not the answer had begun.

Evidence: TestPanicAfterPartOfAnswer on the code before: "complete with 65619 bytes" of 65536, over HTTP/1.1 and HTTP/2.

Change: it notes whether the answer has begun and ends the connection (in HTTP/2 the stream) then. sqdaemon's tests of cut answers pass.

--- a/internal/edge/sqdaemon/cut_test.go
+++ b/internal/edge/sqdaemon/cut_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
 )
@@ -72,3 +73,37 @@
 		}
 	}
 }
+
+// TestPanicAfterPartOfAnswer guards against an answer that looks complete, with other bytes
+// at its end, although its handler has panicked in the middle of it.
+func TestPanicAfterPartOfAnswer(t *testing.T) {
+	s := newServer(recoverPanics(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/part" {
+			_, _ = io.WriteString(w, strings.Repeat("p", sqgate.FrameBytes))
+		}
+		panic("fault")
+	}), logr.Discard()))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	http2 := new(http.Protocols)
+	http2.SetUnencryptedHTTP2(true)
+	for name, client := range map[string]*http.Client{
+		"HTTP/1.1": {Transport: &http.Transport{}},
+		"HTTP/2":   {Transport: &http.Transport{Protocols: http2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			defer client.CloseIdleConnections()
+			resp, err := client.Get("http://" + l.Addr().String() + "/none")
+			qt.Assert(t, err, qt.IsNil)
+			_ = resp.Body.Close()
+			qt.Check(t, resp.StatusCode, qt.Equals, http.StatusInternalServerError)
+			resp, err = client.Get("http://" + l.Addr().String() + "/part")
+			qt.Assert(t, err, qt.IsNil)
+			defer resp.Body.Close()
+			got, err := io.ReadAll(resp.Body)
+			qt.Check(t, err, qt.IsNotNil, qt.Commentf("complete with %d bytes", len(got)))
+		})
+	}
+}
--- a/internal/edge/sqdaemon/listen.go
+++ b/internal/edge/sqdaemon/listen.go
@@ -78,20 +78,52 @@
 }
 
 // recoverPanics answers a request whose handler panics with status 500, and logs the
-// panic. It doesn't recover http.ErrAbortHandler, which closes the connection on purpose.
+// panic. If a part of the answer has been written, or on http.ErrAbortHandler, it ends the
+// connection instead.
 func recoverPanics(next http.Handler, log logr.Logger) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a := &answerWatch{ResponseWriter: w}
 		defer func() {
 			p := recover()
 			if p == nil {
 				return
 			}
-			if p == http.ErrAbortHandler {
-				panic(p)
+			if p != http.ErrAbortHandler {
+				log.Error(errors.Errorf("panic: %v", p), "handler panicked", "path", r.URL.Path)
+				if !a.begun {
+					sqproblem.Problem{Status: http.StatusInternalServerError, Run: "unknown"}.Write(w)
+					return
+				}
 			}
-			log.Error(errors.Errorf("panic: %v", p), "handler panicked", "path", r.URL.Path)
-			sqproblem.Problem{Status: http.StatusInternalServerError, Run: "unknown"}.Write(w)
+			abortAnswer()
 		}()
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(a, r)
 	})
 }
+
+// answerWatch notes whether an answer has begun.
+type answerWatch struct {
+	http.ResponseWriter
+	begun bool
+}
+
+// WriteHeader begins the answer, unless the status is informational.
+func (a *answerWatch) WriteHeader(status int) {
+	a.begun = a.begun || status >= http.StatusOK
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the answer's body.
+func (a *answerWatch) Write(b []byte) (int, error) {
+	a.begun = true
+	return a.ResponseWriter.Write(b)
+}
+
+// Unwrap returns the server's own writer, for http.ResponseController.
+func (a *answerWatch) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
+// abortAnswer ends the connection of an answer that is not complete, or in HTTP/2 its
+// stream. It panics with http.ErrAbortHandler.
+func abortAnswer() {
+	panic(http.ErrAbortHandler)
+}
--- a/internal/edge/sqdaemon/path_test.go
+++ b/internal/edge/sqdaemon/path_test.go
@@ -101,7 +101,7 @@
 	qt.Assert(f.t, err, qt.IsNil)
 	go func() { _ = server.Serve(l) }()
 	n.peer = l.Addr().String()
-	n.caller = httptest.NewServer(entry.Callers())
+	n.caller = httptest.NewServer(recoverPanics(entry.Callers(), logr.Discard()))
 	local := &sqlocal.Server{Daemon: name, Targets: n.targets, Nested: entry.Nested()}
 	n.local = httptest.NewServer(local.Handler())
 	f.t.Cleanup(func() {
