An answer that is given up is reset for callers of HTTP/1.0

Callers would see: a part of an answer that looks complete, over HTTP/1.0, where a close is the proper end of an answer.

--- a/internal/edge/sqdaemon/cut_test.go
+++ b/internal/edge/sqdaemon/cut_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -74,6 +75,28 @@
 	}
 }
 
+// TestCutAnswerOfHTTP10 guards against a part of an answer that looks complete to a caller
+// of HTTP/1.0, to which the close of its connection is the end of an answer.
+func TestCutAnswerOfHTTP10(t *testing.T) {
+	for _, place := range []int{0, 1} {
+		t.Run(fmt.Sprintf("node %d", place), func(t *testing.T) {
+			f := newFleet(t, 2, planAllowing(0, "photos"))
+			f.target(place, "photos", func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, strings.Repeat("p", 3*sqgate.FrameBytes))
+				panic(http.ErrAbortHandler)
+			})
+			c, err := net.Dial("tcp", f.nodes[0].caller.Listener.Addr().String())
+			qt.Assert(t, err, qt.IsNil)
+			defer c.Close()
+			_, err = fmt.Fprintf(c, "GET /photos/1 HTTP/1.0\r\nHost: x\r\nAuthorization: Bearer %s\r\n\r\n", testKey)
+			qt.Assert(t, err, qt.IsNil)
+			_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+			got, err := io.ReadAll(c)
+			qt.Assert(t, err, qt.ErrorIs, syscall.ECONNRESET, qt.Commentf("complete with %d bytes", len(got)))
+		})
+	}
+}
+
 // TestPanicAfterPartOfAnswer guards against an answer that looks complete, with other bytes
 // at its end, although its handler has panicked in the middle of it.
 func TestPanicAfterPartOfAnswer(t *testing.T) {
--- a/internal/edge/sqdaemon/listen.go
+++ b/internal/edge/sqdaemon/listen.go
@@ -95,7 +95,7 @@
 					return
 				}
 			}
-			abortAnswer()
+			abortAnswer(w, r)
 		}()
 		next.ServeHTTP(a, r)
 	})
@@ -124,6 +124,15 @@
 
 // abortAnswer ends the connection of an answer that is not complete, or in HTTP/2 its
 // stream. It panics with http.ErrAbortHandler.
-func abortAnswer() {
+func abortAnswer(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		// In HTTP/1.0 a close is the proper end of an answer, a reset isn't.
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	}
 	panic(http.ErrAbortHandler)
 }
