--- a/internal/edge/sqdaemon/cut_test.go
+++ b/internal/edge/sqdaemon/cut_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -130,3 +131,145 @@
 		})
 	}
 }
+
+// TestCutHeadIsAnHonestFailure guards against an answer that is cut in its head, at each
+// byte, and reaches the caller as a success, or has a non-idempotent request run again. The
+// target is beside the entry, or beside another daemon.
+func TestCutHeadIsAnHonestFailure(t *testing.T) {
+	heads := []string{
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+	}
+	for _, place := range []int{0, 1} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("node %d/reset %v", place, reset), func(t *testing.T) {
+				f := newFleet(t, 2, planAllowing(1, "photos"))
+				var runs atomic.Int64
+				f.target(place, "photos", func(w http.ResponseWriter, r *http.Request) {
+					runs.Add(1)
+					var head, n int
+					if c, _ := fmt.Sscanf(r.URL.Path, "/%d/%d", &head, &n); c < 2 {
+						_, _ = io.WriteString(w, "whole")
+						return
+					}
+					c := hijack(t, w)
+					_, _ = io.WriteString(c, heads[head][:n])
+					if reset {
+						_ = c.SetLinger(0)
+					}
+					_ = c.Close()
+				})
+				for head := range heads {
+					for n := range len(heads[head]) {
+						for method, maxRuns := range map[string]int64{http.MethodGet: 2, http.MethodPost: 1} {
+							comment := qt.Commentf("%s, cut after %q", method, heads[head][:n])
+							runs.Store(0)
+							resp, _ := f.do(method, fmt.Sprintf("/photos/%d/%d", head, n), testKey, nil)
+							qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusBadGateway, comment)
+							qt.Assert(t, resp.Header.Get("Sequoia-Run"), qt.Equals, "unknown", comment)
+							qt.Assert(t, runs.Load() <= maxRuns, qt.IsTrue, comment)
+						}
+					}
+				}
+				_, text := f.do(http.MethodGet, "/photos/whole", testKey, nil)
+				qt.Assert(t, text, qt.Equals, "whole")
+			})
+		}
+	}
+}
+
+// cutProxy forwards connections to address, and of what comes back only some bytes; then it
+// closes or resets both sides. It reports through cut whether it has done so.
+func cutProxy(t testing.TB, address string, bytes int64, reset bool, cut *atomic.Bool) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			back, err := net.Dial("tcp", address)
+			if err != nil {
+				_ = c.Close()
+				continue
+			}
+			go func() { _, _ = io.Copy(back, c) }()
+			go func() {
+				defer back.Close()
+				defer c.Close()
+				if n, _ := io.CopyN(c, back, bytes); n < bytes {
+					return
+				}
+				cut.Store(true)
+				if reset {
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestCutPeerAnswerIsAnHonestFailure guards against a peer's answer that is cut, at any byte,
+// and reaches the caller as a success with another body, or as not run although it has run,
+// or has a non-idempotent request run again.
+func TestCutPeerAnswerIsAnHonestFailure(t *testing.T) {
+	const step = 7
+	for _, reset := range []bool{false, true} {
+		for _, size := range []int{5, 2 * sqgate.FrameBytes} {
+			t.Run(fmt.Sprintf("reset %v/%d bytes", reset, size), func(t *testing.T) {
+				t.Parallel()
+				whole := strings.Repeat("p", size)
+				isCut, length := true, int64(0)
+				for ; isCut; length += step {
+					if length > 400 && length < int64(size) {
+						length = int64(size)
+					}
+					isCut = checkCutPeer(t, whole, length, reset)
+				}
+				qt.Check(t, length > int64(size), qt.IsTrue, qt.Commentf("whole after %d bytes", length))
+			})
+		}
+	}
+}
+
+// checkCutPeer sends a request to a target beside a peer whose answers are cut after some
+// bytes, and reports whether they were.
+func checkCutPeer(t *testing.T, whole string, bytes int64, reset bool) bool {
+	f := newFleet(t, 2, planAllowing(1, "photos"))
+	var runs atomic.Int64
+	f.target(1, "photos", func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		_, _ = io.WriteString(w, whole)
+	})
+	var cut atomic.Bool
+	for _, row := range f.directory.Service("photos") {
+		row.PeerAddress = cutProxy(t, row.PeerAddress, bytes, reset, &cut)
+		f.directory.Put(row.ID, row)
+	}
+	r, err := http.NewRequest(http.MethodPost, f.nodes[0].caller.URL+"/photos/1", nil)
+	qt.Assert(t, err, qt.IsNil)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set("Sequoia-Timeout", "2s")
+	comment := qt.Commentf("cut after %d bytes", bytes)
+	resp, err := http.DefaultClient.Do(r)
+	var text []byte
+	if err == nil {
+		text, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+	}
+	switch {
+	case err != nil:
+		qt.Check(t, cut.Load(), qt.IsTrue, comment)
+	case resp.StatusCode == http.StatusOK:
+		qt.Check(t, string(text) == whole, qt.IsTrue, comment)
+	case resp.Header.Get("Sequoia-Run") == "not-run":
+		qt.Check(t, runs.Load(), qt.Equals, int64(0), comment)
+	default:
+		qt.Check(t, resp.Header.Get("Sequoia-Run"), qt.Equals, "unknown", comment)
+	}
+	qt.Check(t, runs.Load() <= 1, qt.IsTrue, comment)
+	return cut.Load()
+}
