--- a/internal/edge/sqdaemon/adapter.go
+++ b/internal/edge/sqdaemon/adapter.go
@@ -69,6 +69,8 @@
 	CallerAdapter(catalog func() *sqcatalog.Catalog, calls *sqcall.Table) sqentry.CallerAdapter
 	// TargetAdapter returns the protocol that the gate speaks with targets.
 	TargetAdapter() sqgate.TargetAdapter
+	// Prober returns what asks the host's targets how they are.
+	Prober(catalog func() *sqcatalog.Catalog) sqgate.Prober
 	// AnswersRequest reports whether an answer belongs to the request with the given id.
 	AnswersRequest(answer http.Header, requestID string) bool
 	// AnnouncementHandler returns the handler of the announcements of the host's target.
@@ -246,6 +248,7 @@
 func (d *Daemon) applyAdapter() {
 	d.gate.Adapter = d.Adapter.TargetAdapter()
 	d.gate.Conns = &sqconn.Pool{IsOwnAnswer: d.Adapter.AnswersRequest}
+	d.targets.Prober, d.targets.AnnounceEvery = d.Adapter.Prober(d.catalogHolder.Catalog), time.Duration(d.Settings.Platform.AnnounceEvery)
 	d.targets.ExpireAfter = maxMissedAnnouncements * time.Duration(d.Settings.Platform.AnnounceEvery)
 	d.entry.Service = d.Settings.Platform.Service
 	d.entry.Charger = d.rateShares
--- a/internal/edge/sqdaemon/build.go
+++ b/internal/edge/sqdaemon/build.go
@@ -142,7 +142,7 @@
 func (d *Daemon) buildPath() {
 	s := &d.Settings
 	d.budget = &sqhold.Budget{Limit: squnit.Bytes(heldFraction * float64(s.Memory.Limit))}
-	d.targets = &sqgate.Targets{Listener: targetAnnouncer{d}, NewAdmission: newAdmission(s.Policy, d.Adapter != nil)}
+	d.targets = &sqgate.Targets{Listener: targetAnnouncer{d}, NewAdmission: newAdmission(s.Policy, d.Adapter != nil), Logger: d.Logger}
 	d.gate = &sqgate.Gate{
 		Daemon: s.DaemonName, Targets: d.targets, Calls: d.calls, Metrics: d.metrics, Logger: d.Logger,
 		Conns: sqgate.NewConns(), Stop: &d.stopState, Budget: d.budget,
--- a/internal/edge/sqgate/targets.go
+++ b/internal/edge/sqgate/targets.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
@@ -97,11 +98,18 @@
 	// Departures keeps the departures that targets report; nil keeps none.
 	Departures DepartureRecorder
 
-	// mu guards holding and pending, the latest announcement of each target that waits for
-	// Restore.
-	mu      sync.Mutex
-	holding bool
-	pending map[sqid.TargetID]LocalTarget
+	// Prober asks targets how they are; nil asks none. AnnounceEvery is the time between two
+	// announcements of a target; if it is 0, announcements verify no target.
+	Prober        Prober
+	AnnounceEvery time.Duration
+	Logger        logr.Logger
+
+	// mu guards what Hold sets: whether Restore is awaited, until when targets are verified,
+	// and those that wait.
+	mu          sync.Mutex
+	holding     bool
+	verifyUntil time.Time
+	candidates  map[sqid.TargetID]*candidate
 
 	rows sqtable.Table[sqid.TargetID, LocalTarget]
 	// removed has the targets that were removed lately, with Announced set to
@@ -121,11 +129,17 @@
 // is neither added nor renewed then. A draining target goes on draining until its
 // incarnation, service or address changes; with such a change its admission policy
 // starts anew. Calls that run or wait under the old policy stay there; it is neither
-// drained nor ticked any more, and PendingCalls does not count them.
+// drained nor ticked any more, and PendingCalls does not count them. For a while after
+// Hold, targets are added only once they are verified.
 func (t *Targets) Announce(l LocalTarget, now time.Time) bool {
-	if t.hold(l) {
+	if c := t.awaitVerification(l, now); c != nil {
+		t.promote(c, now)
 		return true
 	}
+	return t.announce(l, now)
+}
+
+func (t *Targets) announce(l LocalTarget, now time.Time) bool {
 	if t.rejectOrDisplace(&l) {
 		return false
 	}
@@ -200,27 +214,6 @@
 	return true
 }
 
-// Hold makes announcements wait until Restore. A daemon that has just started does not
-// know yet which of its targets have left.
-func (t *Targets) Hold() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.holding, t.pending = true, make(map[sqid.TargetID]LocalTarget)
-}
-
-// hold keeps an announcement until Restore, if Hold was called. It reports whether it did.
-func (t *Targets) hold(l LocalTarget) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.holding {
-		return false
-	}
-	if before, ok := t.pending[l.ID]; !ok || before.precedes(&l) {
-		t.pending[l.ID] = l
-	}
-	return true
-}
-
 // markDeparted marks an incarnation of a target, and all earlier ones, as departed: their
 // announcements are taken for delayed ones for a minute.
 func (t *Targets) markDeparted(id sqid.TargetID, i sqid.Incarnation) {
@@ -233,23 +226,13 @@
 // the target if it is one of them.
 func (t *Targets) Depart(id sqid.TargetID, i sqid.Incarnation) {
 	t.markDeparted(id, i)
+	t.dropCandidate(id, i)
 	if row, known := t.rows.Get(id); known && row.Incarnation <= i {
 		t.Drain(id)
 		t.drop(id)
 	}
 }
 
-// Restore ends the wait that Hold began. Targets that have departed must be marked before.
-func (t *Targets) Restore() {
-	t.mu.Lock()
-	pending := t.pending
-	t.holding, t.pending = false, nil
-	t.mu.Unlock()
-	for _, l := range pending {
-		t.Announce(l, time.Now())
-	}
-}
-
 // Leave handles a target's own report that its incarnation i drains, or has ended if ended
 // is set. An incarnation of 0 stands for the one that is known, or for all that began before
 // now. When Leave returns, the target gets no new calls, also after a restart of the daemon.
@@ -265,10 +248,7 @@
 	case known && i < row.Incarnation:
 		return true
 	}
-	t.mu.Lock()
-	holding := t.holding
-	t.mu.Unlock()
-	if ended || holding {
+	if waits := t.dropCandidate(id, i); ended || waits {
 		t.Depart(id, i)
 	} else {
 		t.Drain(id)
@@ -337,12 +317,14 @@
 // Tick advances the admission policies of the targets, and removes the targets that
 // were not renewed in time. Daemons call it every 20 ms, as Admission.Tick needs.
 func (t *Targets) Tick(now time.Time) {
+	expireAfter := cmp.Or(t.ExpireAfter, defaultExpiry)
 	for _, row := range t.All() {
 		row.admitter.tick(now)
-		if now.Sub(row.Announced) > cmp.Or(t.ExpireAfter, defaultExpiry) {
+		if now.Sub(row.Announced) > expireAfter {
 			t.drop(row.ID)
 		}
 	}
+	t.expireCandidates(now, expireAfter)
 	t.removed.Retain(func(_ sqid.TargetID, row LocalTarget) bool { return now.Sub(row.Announced) < removedRetention })
 }
 
--- a/internal/state/sqcatalog/catalog.go
+++ b/internal/state/sqcatalog/catalog.go
@@ -80,17 +80,20 @@
 
 	hosts      map[string][]*Route
 	services   map[sqid.ServiceID]bool
+	health     map[sqid.ServiceID]string
 	keys       map[sqid.KeyDigest]*Workspace
 	workspaces map[sqid.WorkspaceID]*Workspace
 }
 
 // Builder has the contents from which Build makes a catalog.
 type Builder struct {
-	Version    Version
-	Limits     Limits
-	Services   []sqid.ServiceID
-	Routes     []Route
-	Workspaces []Workspace
+	Version  Version
+	Limits   Limits
+	Services []sqid.ServiceID
+	// HealthPaths are the paths at which the targets of services answer health checks.
+	HealthPaths map[sqid.ServiceID]string
+	Routes      []Route
+	Workspaces  []Workspace
 	// Keys are the digests of each workspace's keys.
 	Keys map[sqid.WorkspaceID][]sqid.KeyDigest
 }
@@ -99,7 +102,7 @@
 // which may be nil, continues that route's rotation.
 func (b Builder) Build(previous *Catalog) *Catalog {
 	c := &Catalog{
-		Version: b.Version, Limits: b.Limits,
+		Version: b.Version, Limits: b.Limits, health: b.HealthPaths,
 		hosts:      make(map[string][]*Route),
 		services:   make(map[sqid.ServiceID]bool),
 		keys:       make(map[sqid.KeyDigest]*Workspace),
@@ -129,6 +132,10 @@
 // HasService reports whether the catalog lists a service.
 func (c *Catalog) HasService(s sqid.ServiceID) bool { return c.services[s] }
 
+// HealthPath returns the path at which the targets of a service answer health checks, ""
+// if it has none.
+func (c *Catalog) HealthPath(s sqid.ServiceID) string { return c.health[s] }
+
 // Workspace returns the workspace that holds a key.
 func (c *Catalog) Workspace(k sqid.KeyDigest) (*Workspace, bool) {
 	w, ok := c.keys[k]
