--- a/internal/edge/sqdaemon/departures.go
+++ b/internal/edge/sqdaemon/departures.go
@@ -17,9 +17,10 @@
 // departureRecorder records the departures of the local targets.
 type departureRecorder struct{ k *sqdeparture.Keeper }
 
-// RecordDeparture keeps a departure where it outlives this daemon.
-func (r departureRecorder) RecordDeparture(ctx context.Context, id sqid.TargetID, i sqid.Incarnation) {
-	r.k.Record(ctx, sqdeparture.Departure{Target: id, Incarnation: i})
+// RecordDeparture keeps a departure where it outlives this daemon, and reports whether it
+// does.
+func (r departureRecorder) RecordDeparture(ctx context.Context, id sqid.TargetID, i sqid.Incarnation) bool {
+	return r.k.Record(ctx, sqdeparture.Departure{Target: id, Incarnation: i})
 }
 
 func (d *Daemon) buildDepartures() {
--- a/internal/edge/sqdeparture/keeper.go
+++ b/internal/edge/sqdeparture/keeper.go
@@ -163,15 +163,16 @@
 }
 
 // Record keeps a departure. It returns once the store and the peers that hold it have
-// answered, or after recordTimeout: a daemon that reaches neither still knows it itself.
-func (k *Keeper) Record(ctx context.Context, d Departure) {
+// answered, or after recordTimeout, and reports whether any of them has it. A daemon that
+// reaches none still knows it itself, and goes on trying.
+func (k *Keeper) Record(ctx context.Context, d Departure) bool {
 	k.mu.Lock()
 	k.own = add(k.own, d, time.Now())
 	i := slices.IndexFunc(k.own, func(e entry) bool { return e.covers(d) })
 	kept := k.own[i].saved || k.own[i].handed
 	k.mu.Unlock()
 	if kept {
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
 	done := make(chan struct{}, 2)
@@ -197,8 +198,10 @@
 	for _, e := range k.own {
 		if e.covers(d) {
 			k.Logger.Info("departure recorded", "target", d.Target, "incarnation", d.Incarnation, "inStore", e.saved, "withPeers", e.handed)
+			kept = kept || e.saved || e.handed
 		}
 	}
+	return kept
 }
 
 // mark sets flags of the departures of a list that own still has.
--- a/internal/edge/sqdeparture/keeper_test.go
+++ b/internal/edge/sqdeparture/keeper_test.go
@@ -397,3 +397,28 @@
 	c.start("a")
 	qt.Check(t, c.restored("a"), qt.HasLen, 0)
 }
+
+// TestRecordReportsWhatIsKept guards against an acknowledgement of a departure that only the
+// daemon's own memory keeps.
+func TestRecordReportsWhatIsKept(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(c *cluster)
+		want    bool
+	}{
+		"store and peers":        {func(*cluster) {}, true},
+		"the store alone":        {func(c *cluster) { c.kill("b", "c") }, true},
+		"peers alone":            {func(c *cluster) { c.store.setDown(true) }, true},
+		"neither store nor peer": {func(c *cluster) { c.store.setDown(true); c.kill("b", "c") }, false},
+		"no peer is known":       {func(c *cluster) { c.store.setDown(true); c.hide("b", "c") }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cl := newCluster(t, "a", "b", "c")
+			c.prepare(cl)
+			qt.Check(t, cl.get("a").Record(context.Background(), left), qt.Equals, c.want)
+			// Reported again, it is kept as soon as the store is back.
+			cl.store.setDown(false)
+			qt.Check(t, cl.get("a").Record(context.Background(), left), qt.IsTrue)
+		})
+	}
+}
--- a/internal/edge/sqgate/targets.go
+++ b/internal/edge/sqgate/targets.go
@@ -80,8 +80,8 @@
 // DepartureRecorder keeps the departures of targets where they outlive the daemon.
 type DepartureRecorder interface {
 	// RecordDeparture returns once the departure of a target's incarnation is kept, or
-	// can't be for now.
-	RecordDeparture(ctx context.Context, id sqid.TargetID, i sqid.Incarnation)
+	// can't be for now. It reports whether anything but this daemon keeps it.
+	RecordDeparture(ctx context.Context, id sqid.TargetID, i sqid.Incarnation) bool
 }
 
 // Targets is the table of the local targets. Its Tick removes those that are no
@@ -233,12 +233,15 @@
 	}
 }
 
+// ErrDepartureNotKept is returned if only this daemon knows that a target leaves.
+var ErrDepartureNotKept = errors.New("departure is kept by neither the store nor a peer")
+
 // Leave handles a target's own report that its incarnation i drains, or has ended if ended
 // is set. An incarnation of 0 stands for the one that is known, or for all that began before
-// now. When Leave returns, the target gets no new calls, also after a restart of the daemon.
-// A report of an earlier incarnation than the known one changes nothing. It reports whether
-// the target was known.
-func (t *Targets) Leave(ctx context.Context, id sqid.TargetID, i sqid.Incarnation, ended bool) bool {
+// now. When Leave returns, the target gets no new calls, and without an error none after a
+// restart of the daemon either. A report of an earlier incarnation than the known one changes
+// nothing. It reports whether the target was known.
+func (t *Targets) Leave(ctx context.Context, id sqid.TargetID, i sqid.Incarnation, ended bool) (known bool, err error) {
 	row, known := t.rows.Get(id)
 	switch {
 	case i == 0 && known:
@@ -246,17 +249,17 @@
 	case i == 0:
 		i = sqid.Incarnation(time.Now().UnixMilli())
 	case known && i < row.Incarnation:
-		return true
+		return true, nil
 	}
 	if waits := t.dropCandidate(id, i); ended || waits {
 		t.Depart(id, i)
 	} else {
 		t.Drain(id)
 	}
-	if t.Departures != nil {
-		t.Departures.RecordDeparture(ctx, id, i)
+	if t.Departures != nil && !t.Departures.RecordDeparture(ctx, id, i) {
+		return known, ErrDepartureNotKept
 	}
-	return known
+	return known, nil
 }
 
 // Remove removes a target that has ended, as another target at its address shows. If it
