The end of an answer to HEAD leaves its connection usable

Evidence: TestHeadAnswersWithoutLength: "i/o timeout" at the second request.

Change: an answer without a body does not end with its connection.

--- a/internal/edge/sqconn/exchange.go
+++ b/internal/edge/sqconn/exchange.go
@@ -278,9 +278,10 @@
 	})
 }
 
-// isUnframed reports whether an answer's body ends with its connection.
+// isUnframed reports whether an answer's body ends with its connection. The answer to a HEAD
+// request has no body, whatever its head says.
 func isUnframed(answer *http.Response) bool {
-	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
+	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 && answer.Body != http.NoBody
 }
 
 // body is the body of an answer. The exchange ends with it.
--- a/internal/edge/sqconn/reset_test.go
+++ b/internal/edge/sqconn/reset_test.go
@@ -160,3 +160,28 @@
 		})
 	}
 }
+
+// TestHeadAnswersWithoutLength checks that the connection stays usable after an answer to a
+// HEAD request, which has neither a body nor, here, a length.
+func TestHeadAnswersWithoutLength(t *testing.T) {
+	address := serveRaw(t, func(n int, c net.Conn, br *bufio.Reader) {
+		for {
+			id, err := readRequestID(br)
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nConn: %d\r\n\r\n", id, n)
+		}
+	})
+	p := &sqconn.Pool{IsOwnAnswer: hasID}
+	for _, id := range []string{"1", "2", "3"} {
+		r := get(id)
+		r.Method = "HEAD"
+		resp, err := p.Do(t.Context(), address, r)
+		qt.Assert(t, err, qt.IsNil)
+		_, err = io.ReadAll(resp.Body)
+		qt.Assert(t, err, qt.IsNil)
+		_ = resp.Body.Close()
+		qt.Check(t, resp.Header.Get("Conn"), qt.Equals, "1")
+	}
+}
--- a/internal/edge/sqgate/verify.go
+++ b/internal/edge/sqgate/verify.go
@@ -39,12 +39,12 @@
 	Probe(ctx context.Context, t LocalTarget) Liveness
 }
 
+// candidate is a target whose announcements wait for Restore and for its verification.
+//
 // A daemon that has just started doesn't know for sure which of its targets have left, nor
 // whether an announcement was sent before its start: those that keep the departures may have
 // been restarted as well. So for VerifyPeriod it uses a target only once that has answered a
 // probe, or has sent a later announcement some time after the first.
-
-// candidate is a target whose announcements wait for Restore and for its verification.
 type candidate struct {
 	latest LocalTarget
 	// since is when its first announcement arrived.
@@ -85,7 +85,7 @@
 	settled := used && l.Incarnation <= row.Incarnation || left && l.Incarnation <= removed.Incarnation
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.holding && (settled || !now.Before(t.verifyUntil)) {
+	if settled || !t.holding && !now.Before(t.verifyUntil) {
 		return nil
 	}
 	l.Announced = now
