A body that is too large has its connection closed again

Since recoverPanics notes whether an answer has begun, it wraps the server's writer. http.MaxBytesReader knows only that writer, so the connection of a body that passes the limit stayed open, in the middle of the body.

Change: the entry gives MaxBytesReader the server's own writer.

--- a/internal/edge/sqdaemon/cut_test.go
+++ b/internal/edge/sqdaemon/cut_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -15,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqentry"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
 )
 
@@ -273,3 +275,29 @@
 	qt.Check(t, runs.Load() <= 1, qt.IsTrue, comment)
 	return cut.Load()
 }
+
+// TestTooLargeBodyEndsConnection guards against the rest of a body that is too large and is
+// read as the next request on the caller's connection.
+func TestTooLargeBodyEndsConnection(t *testing.T) {
+	f := newFleet(t, 2, planAllowing(0, "photos"))
+	f.target(0, "photos", func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	c, err := net.Dial("tcp", f.nodes[0].caller.Listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	go func() {
+		_, _ = fmt.Fprintf(c, "PUT /photos/1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n", testKey)
+		w := httputil.NewChunkedWriter(c)
+		_, _ = io.CopyN(w, zeros{}, int64(sqentry.MaxBodyBytes))
+		for err := error(nil); err == nil; {
+			_, err = io.WriteString(w, "GET /photos/2 HTTP/1.1\r\nHost: x\r\n\r\n")
+		}
+	}()
+	br := bufio.NewReader(c)
+	resp, err := http.ReadResponse(br, nil)
+	qt.Assert(t, err, qt.IsNil)
+	_, _ = io.Copy(io.Discard, resp.Body)
+	qt.Check(t, resp.Close, qt.IsTrue, qt.Commentf("status %d", resp.StatusCode))
+	_, err = http.ReadResponse(br, nil)
+	qt.Check(t, err, qt.IsNotNil, qt.Commentf("the rest of the body is answered"))
+}
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -139,7 +139,7 @@
 	if refusal := q.charge(q.ctx); refusal != nil {
 		return refusal
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, maxBytes)
+	r.Body = http.MaxBytesReader(serverWriter(w), r.Body, maxBytes)
 	b, err := readBody(r)
 	if err != nil {
 		return bodyRefusal(err)
@@ -154,6 +154,18 @@
 	return nil
 }
 
+// serverWriter returns the server's own writer. http.MaxBytesReader needs that to have the
+// connection of a body that is too large closed.
+func serverWriter(w http.ResponseWriter) http.ResponseWriter {
+	for {
+		u, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			return w
+		}
+		w = u.Unwrap()
+	}
+}
+
 // unknownServiceReason returns the reason to refuse a request to a service without
 // known targets: a configured service has none now, but may have some later.
 func (q *request) unknownServiceReason() sqreason.Refusal {
