--- a/internal/edge/sqentry/attempt.go
+++ b/internal/edge/sqentry/attempt.go
@@ -39,6 +39,7 @@
 		return q.entry.Budget.Open(sqpeer.HeldBytes, giveWay(cancel, a.control.SetWriteDeadline))
 	}
 	err := q.callTarget(ctx, t, a)
+	q.body.endAttempt()
 	a.part.Close()
 	stop()
 	gaveWay := errors.Is(context.Cause(ctx), errGaveWay)
@@ -166,7 +167,7 @@
 var errGaveWay = errors.New("calls hold too much memory")
 
 // giveWay returns the function that ends an attempt, so that others have memory. unblock
-// ends the wait for a caller that reads or sends slowly, by a deadline.
+// ends the wait for a caller that reads slowly, by a deadline.
 func giveWay(cancel context.CancelCauseFunc, unblock func(time.Time) error) func() {
 	return func() {
 		cancel(errGaveWay)
@@ -189,7 +190,10 @@
 		bodyCtx, end := context.WithCancelCause(ctx)
 		defer end(nil)
 		ctx = bodyCtx
-		q.body.part = q.entry.Budget.Open(sqpeer.HeldBytes, giveWay(end, a.control.SetReadDeadline))
+		q.body.part = q.entry.Budget.Open(sqpeer.HeldBytes, func() {
+			end(errGaveWay)
+			q.body.interrupt()
+		})
 		defer q.body.part.Close()
 	}
 	stream, err := sqcallwire.NewGateClient(conn).Call(ctx)
@@ -201,29 +205,26 @@
 		return err
 	}
 	if !q.body.complete {
-		defer q.streamBody(stream, cancel, a.control)()
+		defer q.streamBody(stream, cancel)()
 	}
 	return receiveAnswer(stream, a)
 }
 
 // streamBody sends the rest of the body in the background. The returned function
 // stops it, even while it reads from the caller, and waits for its end.
-func (q *request) streamBody(stream sqcallwire.Gate_CallClient, cancel func(), c *http.ResponseController) func() {
+func (q *request) streamBody(stream sqcallwire.Gate_CallClient, cancel func()) func() {
 	done := make(chan struct{})
+	rest := q.body.restReader()
 	go func() {
 		defer close(done)
-		if err := q.body.sendRest(stream.Send); err != nil && !errors.Is(err, io.EOF) {
+		if err := q.body.sendRest(rest, stream.Send); err != nil && !errors.Is(err, io.EOF) {
 			cancel()
 		}
 	}()
 	return func() {
 		cancel()
-		select {
-		case <-done:
-		default:
-			_ = c.SetReadDeadline(time.Now())
-			<-done
-		}
+		q.body.endAttempt()
+		<-done
 	}
 }
 
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -140,7 +140,8 @@
 		return refusal
 	}
 	r.Body = http.MaxBytesReader(serverWriter(w), r.Body, maxBytes)
-	b, err := readBody(r)
+	control := http.NewResponseController(w)
+	b, err := readBody(r.Body, r.ContentLength, control.SetReadDeadline)
 	if err != nil {
 		return bodyRefusal(err)
 	}
@@ -149,7 +150,7 @@
 		q.contentLength = int64(len(b.prefix))
 	} else {
 		// Otherwise the server reads the whole body before it answers.
-		_ = http.NewResponseController(w).EnableFullDuplex()
+		_ = control.EnableFullDuplex()
 	}
 	return nil
 }
