--- a/internal/edge/sqentry/attempt.go
+++ b/internal/edge/sqentry/attempt.go
@@ -138,6 +138,7 @@
 
 func (q *request) setAnswerHeaders(h http.Header, run squnit.RunState) {
 	q.closeIfNextIsLate(h)
+	q.closeIfBodyIsLeft(h)
 	q.adapter.SetAnswerHeaders(h, &q.RequestInfo, run)
 }
 
--- a/internal/edge/sqentry/body.go
+++ b/internal/edge/sqentry/body.go
@@ -13,6 +13,15 @@
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
 )
 
+const (
+	// lingerTime bounds the wait for the rest of a body that nobody needs: before a refusal
+	// is sent, and after an answer. Many callers send the whole body before they read the
+	// answer, and would find their connection reset.
+	lingerTime = 500 * time.Millisecond
+	// lingerBytes bounds how much of such a rest is read.
+	lingerBytes = 16 << 20
+)
+
 // errBodyTaken is returned to the reader of an attempt that has ended.
 var errBodyTaken = errors.New("attempt has ended")
 
@@ -35,8 +44,9 @@
 	// reading is set while a read from rest is in progress; done is signalled at its end.
 	reading bool
 	done    sync.Cond
-	// consumed is set once reading from rest has begun, and ended once its end has been read.
-	consumed, ended bool
+	// consumed is set once reading from rest has begun, ended once its end has been read,
+	// and interrupted once a deadline may have ended a read before that.
+	consumed, ended, interrupted bool
 }
 
 // readBody reads the first part of a body.
@@ -65,6 +75,13 @@
 	return b.complete || !b.consumed
 }
 
+// isLeft reports whether a part of the body may not have been read from the caller.
+func (b *body) isLeft() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.complete && (!b.ended || b.interrupted)
+}
+
 // interrupt ends a read that waits for the caller, and all later ones.
 func (b *body) interrupt() {
 	b.mu.Lock()
@@ -74,10 +91,21 @@
 
 func (b *body) interruptLocked() {
 	if !b.complete && !b.ended {
+		b.interrupted = true
 		_ = b.setReadDeadline(time.Now())
 	}
 }
 
+// linger reads what is left of the body after the answer, so that the caller can read that
+// before its connection is closed. No attempt may be under way.
+func (b *body) linger() {
+	if !b.isLeft() {
+		return
+	}
+	_ = b.setReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, b.rest, lingerBytes)
+}
+
 // endAttempt ends the reading of the latest attempt. When it returns, nobody reads from the
 // caller's connection.
 func (b *body) endAttempt() {
--- a/internal/edge/sqentry/entry.go
+++ b/internal/edge/sqentry/entry.go
@@ -134,6 +134,7 @@
 	defer func() { e.Metrics.CallSeconds.Observe(time.Since(start).Seconds()) }()
 	info, refusal := adapter.ParseRequest(r, start)
 	if refusal != nil {
+		boundDiscard(w, r.ContentLength)
 		e.refuse(adapter, w, &info, refusal)
 		return
 	}
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -36,7 +36,9 @@
 	entry   *Entry
 	adapter CallerAdapter
 
-	method string
+	method     string
+	protoMajor int
+
 	credit squnit.Credit
 	depth  squnit.Depth
 	// rootID is shared by all calls of a request: the caller's id, or a new one.
@@ -74,7 +76,7 @@
 
 func (e *Entry) newRequest(adapter CallerAdapter, info *RequestInfo, r *http.Request, now time.Time) *request {
 	q := &request{
-		RequestInfo: *info, entry: e, adapter: adapter, method: r.Method, startedAt: now, credit: info.Credit,
+		RequestInfo: *info, entry: e, adapter: adapter, method: r.Method, protoMajor: r.ProtoMajor, startedAt: now, credit: info.Credit,
 		headers: sqheader.Forwardable(r.Header), contentLength: r.ContentLength,
 	}
 	if q.Parent != nil {
@@ -99,6 +101,7 @@
 	if refusal != nil {
 		q.refuse(w, refusal)
 	}
+	q.linger(w)
 }
 
 // refuse answers the request with a refusal. If the request has not run, its token
@@ -111,6 +114,10 @@
 		q.Parent.NestedFailed()
 	}
 	q.closeIfNextIsLate(w.Header())
+	q.closeIfBodyIsLeft(w.Header())
+	if q.body == nil {
+		boundDiscard(w, q.contentLength)
+	}
 	if refusal.Run == squnit.RunNot && refusal.Reason == sqreason.Stopping && q.entry.Stop.Begun() {
 		refusal.RetryAfter = q.entry.Stop.RetryAfter(time.Now())
 	} else if q.CallerTimeout > 0 && refusal.Run == squnit.RunNot && refusal.Reason.Transient() {
@@ -139,9 +146,10 @@
 	if refusal := q.charge(q.ctx); refusal != nil {
 		return refusal
 	}
-	r.Body = http.MaxBytesReader(serverWriter(w), r.Body, maxBytes)
+	// The server's own Request.Body stays, so that the server sees how much of it is left.
+	limited := http.MaxBytesReader(serverWriter(w), r.Body, maxBytes)
 	control := http.NewResponseController(w)
-	b, err := readBody(r.Body, r.ContentLength, control.SetReadDeadline)
+	b, err := readBody(limited, r.ContentLength, control.SetReadDeadline)
 	if err != nil {
 		return bodyRefusal(err)
 	}
@@ -155,6 +163,31 @@
 	return nil
 }
 
+// closeIfBodyIsLeft has the caller's connection closed after the answer if a part of the
+// request's body may be left on it, which would be read as the next request. In HTTP/2 each
+// request has a stream of its own.
+func (q *request) closeIfBodyIsLeft(h http.Header) {
+	if q.protoMajor == 1 && q.body != nil && q.body.isLeft() {
+		h.Set("Connection", "close")
+	}
+}
+
+// linger sends what there is of the answer and reads the rest of the request's body.
+func (q *request) linger(w http.ResponseWriter) {
+	if q.protoMajor == 1 && q.body != nil && q.body.isLeft() {
+		_ = http.NewResponseController(w).Flush()
+		q.body.linger()
+	}
+}
+
+// boundDiscard bounds the time for which the server reads the body of a request before it
+// sends the refusal. If the body is not at its end then, it closes the connection.
+func boundDiscard(w http.ResponseWriter, length int64) {
+	if length != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime))
+	}
+}
+
 // serverWriter returns the server's own writer. http.MaxBytesReader needs that to have the
 // connection of a body that is too large closed.
 func serverWriter(w http.ResponseWriter) http.ResponseWriter {
