Answers after a panic close the connection; latency without the wait after

A handler that panics before its answer has begun may leave a part of the request's body on the connection: its 500 says "Connection: close".

--- a/internal/edge/sqdaemon/cut_test.go
+++ b/internal/edge/sqdaemon/cut_test.go
@@ -125,6 +125,7 @@
 			qt.Assert(t, err, qt.IsNil)
 			_ = resp.Body.Close()
 			qt.Check(t, resp.StatusCode, qt.Equals, http.StatusInternalServerError)
+			qt.Check(t, resp.Close, qt.Equals, resp.ProtoMajor == 1)
 			resp, err = client.Get("http://" + l.Addr().String() + "/part")
 			qt.Assert(t, err, qt.IsNil)
 			defer resp.Body.Close()
--- a/internal/edge/sqdaemon/listen.go
+++ b/internal/edge/sqdaemon/listen.go
@@ -91,6 +91,10 @@
 			if p != http.ErrAbortHandler {
 				log.Error(errors.Errorf("panic: %v", p), "handler panicked", "path", r.URL.Path)
 				if !a.begun {
+					if r.ProtoMajor == 1 {
+						// A part of the request's body may be left on the connection.
+						w.Header().Set("Connection", "close")
+					}
 					sqproblem.Problem{Status: http.StatusInternalServerError, Run: "unknown"}.Write(w)
 					return
 				}
--- a/internal/edge/sqentry/body.go
+++ b/internal/edge/sqentry/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net/http"
 	"sync"
 	"time"
 
@@ -49,9 +48,9 @@
 	consumed, ended, interrupted bool
 }
 
-// readBody reads the first part of a body.
+// readBody reads the first part of a body of the given length, -1 if that is unknown.
 func readBody(r io.Reader, length int64, setReadDeadline func(time.Time) error) (*body, error) {
-	if r == nil || r == http.NoBody || length == 0 {
+	if length == 0 {
 		return &body{complete: true}, nil
 	}
 	size := int64(sqgate.FrameBytes)
--- a/internal/edge/sqentry/entry.go
+++ b/internal/edge/sqentry/entry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -131,7 +132,8 @@
 	start := time.Now()
 	e.active.Add(1)
 	defer e.active.Add(-1)
-	defer func() { e.Metrics.CallSeconds.Observe(time.Since(start).Seconds()) }()
+	observe := sync.OnceFunc(func() { e.Metrics.CallSeconds.Observe(time.Since(start).Seconds()) })
+	defer observe()
 	info, refusal := adapter.ParseRequest(r, start)
 	if refusal != nil {
 		boundDiscard(w, r.ContentLength)
@@ -154,6 +156,8 @@
 		defer stop()
 	}
 	q.serve(w, r)
+	observe()
+	q.linger(w)
 }
 
 // refuse logs and counts a refusal, and answers the request with it.
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -101,7 +101,6 @@
 	if refusal != nil {
 		q.refuse(w, refusal)
 	}
-	q.linger(w)
 }
 
 // refuse answers the request with a refusal. If the request has not run, its token
