The health check of a restarted daemon waits for the catalog

The store was away, all daemons were killed twice, and two heartbeats came late, in order.

Cause: without a catalog a daemon has no path to ask the target at. The check was given up after a second, or was still waiting, when the second heartbeat verified the target ("by":"announcement").

Change: the check waits for the catalog for as long as targets are verified, and no announcement verifies a target that is being asked. A daemon without a catalog refuses all requests, so the wait costs nothing.

--- a/internal/edge/sqgate/verify.go
+++ b/internal/edge/sqgate/verify.go
@@ -13,9 +13,6 @@
 	// VerifyPeriod is how long after a daemon's start it verifies the targets that are
 	// announced: longer than announcements are late.
 	VerifyPeriod = 2 * time.Minute
-	// probeTimeout bounds a probe of a target of the same host. A target that is full may
-	// let it wait for a slot.
-	probeTimeout = time.Second
 	// maxCandidates bounds the targets that wait for verification.
 	maxCandidates = 16
 )
@@ -34,8 +31,8 @@
 
 // Prober asks targets how they are.
 type Prober interface {
-	// Probe asks the target at its address. It returns LivenessUnknown if ctx ends or if
-	// another target answers.
+	// Probe waits until it can ask the target at its address, and asks it. It returns
+	// LivenessUnknown if ctx ends, the target doesn't answer in time, or another one answers.
 	Probe(ctx context.Context, t LocalTarget) Liveness
 }
 
@@ -44,15 +41,17 @@
 // A daemon that has just started doesn't know for sure which of its targets have left, nor
 // whether an announcement was sent before its start: those that keep the departures may have
 // been restarted as well. So for VerifyPeriod it uses a target only once that has answered a
-// probe, or has sent a later announcement some time after the first.
+// probe, or, if it has not answered one, has sent a later announcement some time after the
+// first.
 type candidate struct {
 	latest LocalTarget
 	// since is when its first announcement arrived.
 	since time.Time
 	// verified is set once the target is known to have run after the daemon's start.
 	verified bool
-	// probing is set during a probe, leaving if the last one said so.
+	// probing is set during a probe, which stop ends; leaving is set if the last one said so.
 	probing, leaving bool
+	stop             context.CancelFunc
 	// departed is set if it departs before it is announced.
 	departed bool
 }
@@ -95,13 +94,15 @@
 		c = t.addCandidate(l, now)
 	case c.latest.precedes(&l):
 		c.latest = l
-		if t.AnnounceEvery > 0 && now.Sub(c.since) >= t.AnnounceEvery/2 && !c.leaving {
+		if t.AnnounceEvery > 0 && now.Sub(c.since) >= t.AnnounceEvery/2 && !c.probing && !c.leaving {
 			t.verify(c, "announcement", now)
 		}
 	}
 	if t.Prober != nil && !c.verified && !c.probing {
 		c.probing = true
-		go t.probe(c)
+		var ctx context.Context
+		ctx, c.stop = context.WithDeadline(context.Background(), t.verifyUntil)
+		go t.probe(ctx, c)
 	}
 	return c
 }
@@ -109,7 +110,8 @@
 // addCandidate adds a candidate, in place of the one that was announced longest ago if
 // there are too many. t.mu must be held.
 func (t *Targets) addCandidate(l LocalTarget, now time.Time) *candidate {
-	c := &candidate{latest: l, since: now}
+	t.forget(l.ID)
+	c := &candidate{latest: l, since: now, stop: func() {}}
 	t.candidates[l.ID] = c
 	if len(t.candidates) > maxCandidates {
 		oldest := l.ID
@@ -118,11 +120,20 @@
 				oldest = id
 			}
 		}
-		delete(t.candidates, oldest)
+		t.forget(oldest)
 	}
 	return c
 }
 
+// forget removes a candidate, if there is one of that id, and ends its probe. t.mu must be
+// held.
+func (t *Targets) forget(id sqid.TargetID) {
+	if c := t.candidates[id]; c != nil {
+		c.stop()
+		delete(t.candidates, id)
+	}
+}
+
 // verify marks a candidate as verified. t.mu must be held.
 func (t *Targets) verify(c *candidate, by string, now time.Time) {
 	if !c.verified {
@@ -133,15 +144,14 @@
 }
 
 // probe asks a candidate how it is, and promotes it if it runs.
-func (t *Targets) probe(c *candidate) {
+func (t *Targets) probe(ctx context.Context, c *candidate) {
 	t.mu.Lock()
 	l := c.latest
 	t.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
 	liveness := t.Prober.Probe(ctx, l)
 	now := time.Now()
 	t.mu.Lock()
+	c.stop()
 	c.probing, c.leaving = false, liveness == LivenessLeaving
 	if liveness == LivenessRunning {
 		t.verify(c, "probe", now)
@@ -162,7 +172,7 @@
 	t.announce(latest, now)
 	t.mu.Lock()
 	if t.candidates[latest.ID] == c {
-		delete(t.candidates, latest.ID)
+		t.forget(latest.ID)
 	}
 	departed := c.departed
 	t.mu.Unlock()
@@ -180,7 +190,7 @@
 	c := t.candidates[id]
 	if c != nil && c.latest.Incarnation <= i {
 		c.departed = true
-		delete(t.candidates, id)
+		t.forget(id)
 	}
 	return t.holding || c != nil
 }
@@ -191,7 +201,7 @@
 	defer t.mu.Unlock()
 	for id, c := range t.candidates {
 		if now.Sub(c.latest.Announced) > after {
-			delete(t.candidates, id)
+			t.forget(id)
 		}
 	}
 }
--- a/internal/edge/sqgate/verify_test.go
+++ b/internal/edge/sqgate/verify_test.go
@@ -79,6 +79,7 @@
 		select {
 		case s.answers <- answer:
 			qt.Assert(s.t, ok, qt.IsTrue, qt.Commentf("%s: there is one", line))
+			synctest.Wait()
 		default:
 			qt.Assert(s.t, ok, qt.IsFalse, qt.Commentf("%s: there is none", line))
 		}
