--- a/internal/edge/sqdaemon/sequence_test.go
+++ b/internal/edge/sqdaemon/sequence_test.go
@@ -299,3 +299,45 @@
 		}
 	}
 }
+
+// TestSequencesOverHTTP2 plays the same on connections of HTTP/2, where an answer before the
+// end of the body ends the stream alone.
+func TestSequencesOverHTTP2(t *testing.T) {
+	f, s := newSequenceFleet(t)
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	f.nodes[0].caller.Close()
+	f.nodes[0].caller = httptest.NewUnstartedServer(recoverPanics(f.nodes[0].entry.Handler(pathAdapter{}), logr.Discard()))
+	f.nodes[0].caller.Config.Protocols = protocols
+	f.nodes[0].caller.Start()
+	transport := &http.Transport{Protocols: protocols}
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		f.nodes[0].caller.Close()
+	})
+	for seed := range uint64(8) {
+		data := make([]byte, 24)
+		for i, r := 0, rand.New(rand.NewPCG(seed, 2)); i < len(data); i++ {
+			data[i] = byte(r.Uint32())
+		}
+		for _, q := range decodeSequence(fmt.Sprint("h", seed), data) {
+			s.mu.Lock()
+			s.sent[q.id] = &q
+			s.mu.Unlock()
+			r, err := http.NewRequest(http.MethodPut, f.nodes[0].caller.URL+"/"+q.service+"/"+q.id, bytes.NewReader(q.body()))
+			qt.Assert(t, err, qt.IsNil)
+			r.GetBody = nil
+			r.Header.Set("Answer", q.answer)
+			if q.chunked {
+				r.ContentLength = -1
+			}
+			resp, err := transport.RoundTrip(r)
+			qt.Assert(t, err, qt.IsNil, qt.Commentf("%+v", q))
+			text, err := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			qt.Check(t, err, qt.IsNil, qt.Commentf("%+v", q))
+			qt.Check(t, resp.StatusCode != http.StatusOK || string(text) == q.id, qt.IsTrue, qt.Commentf("%+v got the answer %q", q, text))
+		}
+	}
+	s.checkRuns()
+}
