A failure's detail quotes nothing of a target's answer

Callers of the product's own protocol saw parts of a broken answer in the detail of the 502 that stood for it: "malformed MIME header: missing colon: \"field-without-colon\"".

Cause: the detail of a problem is the text of the error, and net/http's errors quote the line that they don't understand. The platform's protocol passes on the reason only.

The detail is left out of failures that may have run. A request that has not run had no answer that could be quoted, so refusals keep theirs. The log has the cause in either case.

TestFailureQuotesNoAnswer failed before, beside the entry and through another daemon.

--- a/internal/edge/sqdaemon/cut_test.go
+++ b/internal/edge/sqdaemon/cut_test.go
@@ -181,6 +181,22 @@
 	}
 }
 
+// TestFailureQuotesNoAnswer guards against a failure whose detail quotes the target's answer.
+// The target is beside the entry, or beside another daemon.
+func TestFailureQuotesNoAnswer(t *testing.T) {
+	for _, place := range []int{0, 1} {
+		f := newFleet(t, 2, planAllowing(0, "photos"))
+		f.target(place, "photos", func(w http.ResponseWriter, _ *http.Request) {
+			c := hijack(t, w)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nfield-without-colon\r\n\r\n")
+			_ = c.Close()
+		})
+		resp, text := f.do(http.MethodGet, "/photos/1", testKey, nil)
+		qt.Check(t, resp.StatusCode, qt.Equals, http.StatusBadGateway)
+		qt.Check(t, text, qt.Not(qt.Contains), "field-without-colon")
+	}
+}
+
 // cutProxy forwards connections to address, and of what comes back only some bytes; then it
 // closes or resets both sides. It reports through cut whether it has done so.
 func cutProxy(t testing.TB, address string, bytes int64, reset bool, cut *atomic.Bool) string {
--- a/internal/edge/sqentry/native.go
+++ b/internal/edge/sqentry/native.go
@@ -115,7 +115,12 @@
 
 // WriteRefusal writes the refusal as a problem document.
 func (nativeAdapter) WriteRefusal(w http.ResponseWriter, _ *RequestInfo, e *sqerror.Error) {
-	sqproblem.Write(w, e)
+	p := sqproblem.FromError(e)
+	if e.Run != squnit.RunNot {
+		// The cause may quote the target's answer. It is in the log.
+		p.Detail = ""
+	}
+	p.Write(w)
 }
 
 // ParseRequest parses a caller's request and decides by the lists whether it may run.
