Values with bytes above 0x7f pass between daemons

A sound answer with a header value such as "\xc3\xb6\xff" reached callers as a 502 with reason peer-broken if its target was beside another daemon, after the target had run the request. A recorded answer with such a value did not reach its keeper, so that a repeat of the operation got operation-unknown.

Cause: a value was a string in the messages between daemons, which has to be UTF-8. HTTP allows any byte above 0x7f in a value (RFC 9110, section 5.5).

Values are bytes now.

TestBrokenHeadIsAnHonestFailure failed before in the case "bytes above 0x7f in a value" through another daemon ("grpc: error while marshaling: string field contains invalid UTF-8") and TestAnswerOnWire in the same way.

--- a/internal/edge/sqclaim/convert.go
+++ b/internal/edge/sqclaim/convert.go
@@ -55,7 +55,7 @@
 	}
 	out := &sqoperation.Answer{Status: int(a.GetStatus()), Body: a.GetBody()}
 	for _, h := range a.GetHeaders() {
-		out.Headers = append(out.Headers, sqoperation.Header{Name: h.GetName(), Value: h.GetValue()})
+		out.Headers = append(out.Headers, sqoperation.Header{Name: h.GetName(), Value: string(h.GetValue())})
 	}
 	return out
 }
@@ -66,7 +66,7 @@
 	}
 	out := &sqclaimwire.Answer{Status: uint32(a.Status), Body: a.Body}
 	for _, h := range a.Headers {
-		out.Headers = append(out.Headers, &sqclaimwire.Header{Name: h.Name, Value: h.Value})
+		out.Headers = append(out.Headers, &sqclaimwire.Header{Name: h.Name, Value: []byte(h.Value)})
 	}
 	return out
 }
--- a/internal/edge/sqentry/operation.go
+++ b/internal/edge/sqentry/operation.go
@@ -107,7 +107,7 @@
 func (k *recorder) answer() *sqoperation.Answer {
 	a := &sqoperation.Answer{Status: int(k.head.GetStatus()), Body: k.body}
 	for _, h := range k.head.GetHeaders() {
-		a.Headers = append(a.Headers, sqoperation.Header{Name: h.GetName(), Value: h.GetValue()})
+		a.Headers = append(a.Headers, sqoperation.Header{Name: h.GetName(), Value: string(h.GetValue())})
 	}
 	return a
 }
--- a/internal/edge/sqheader/header.go
+++ b/internal/edge/sqheader/header.go
@@ -54,7 +54,7 @@
 			continue
 		}
 		for _, v := range values {
-			out = append(out, &sqcallwire.Header{Name: name, Value: v})
+			out = append(out, &sqcallwire.Header{Name: name, Value: []byte(v)})
 		}
 	}
 	return out
@@ -78,7 +78,7 @@
 // Add adds the headers to h.
 func Add(h http.Header, headers []*sqcallwire.Header) {
 	for _, x := range headers {
-		h[x.GetName()] = append(h[x.GetName()], x.GetValue())
+		h[x.GetName()] = append(h[x.GetName()], string(x.GetValue()))
 	}
 }
 
--- /dev/null
+++ b/internal/standin/sqanswer/answer.go
@@ -0,0 +1,63 @@
+// Package sqanswer has answers of targets in trouble, byte for byte, beside sound ones that
+// differ little from them.
+package sqanswer
+
+import (
+	_ "embed"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// Answer is an answer to the request with the id 1.
+type Answer struct {
+	// Name says what is special about the answer.
+	Name string
+	// Text is the whole answer with its informational ones. Its header Id has the request's id.
+	Text string
+	// Sound answers have the body "whole" and the header X-Name with Value. The others must
+	// not be taken for an answer.
+	Sound bool
+	Value string
+}
+
+//go:embed heads.txt
+var heads string
+
+// Heads returns the answers in heads.txt, which says what the columns are.
+func Heads() ([]Answer, error) {
+	var all []Answer
+	for line := range strings.Lines(heads) {
+		line = strings.TrimSuffix(line, "\n")
+		if line == "" || line[0] == '#' {
+			continue
+		}
+		a, err := parse(strings.Split(line, "\t"))
+		if err != nil {
+			return nil, errors.Wrapf(err, "answer %q", line)
+		}
+		all = append(all, a)
+	}
+	return all, nil
+}
+
+func parse(columns []string) (Answer, error) {
+	const brokenColumns, soundColumns = 3, 4
+	a := Answer{Sound: columns[0] == "sound"}
+	switch {
+	case !a.Sound && (columns[0] != "broken" || len(columns) != brokenColumns):
+		return a, errors.New("no verdict, or not three columns")
+	case a.Sound && len(columns) != soundColumns:
+		return a, errors.New("not four columns")
+	}
+	a.Name = columns[1]
+	for i, to := range []*string{&a.Text, &a.Value}[:len(columns)-2] {
+		text, err := strconv.Unquote(columns[i+2])
+		if err != nil {
+			return a, err
+		}
+		*to = text
+	}
+	return a, nil
+}
