An answer whose status line is broken is a failure

An answer with status 000 reached callers as a 500 of the daemon in whose head stood the target's fields, its signature and id among them. Statuses 600 to 999, versions such as HTTP/2.0, reasons with control characters and 101 reached them as answers.

Cause: net/http takes any three characters that are a number for a status, and any version; sqconn passed on what net/http took. Writing a status below 100 panics, after the answer's fields were set, and the handler of panics wrote its own answer over them. 101 was an answer like any other, although no request asks for another protocol.

sqheader.CheckHead decides in sqconn, right after the head was read and before its id, load, framing or idle time is used. What it rejects is the failure that a cut head is: 502, run unknown, the connection not used again, counted against the target, with the cause in the log.

--- a/internal/edge/sqconn/exchange.go
+++ b/internal/edge/sqconn/exchange.go
@@ -210,11 +210,11 @@
 	in := x.conn.in
 	in.left = maxHeadBytes
 	for foreign := 0; foreign <= maxForeignAnswers; {
-		resp, err := http.ReadResponse(x.conn.br, request)
+		resp, err := readHead(x.conn, request)
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		if x.conn.pool.IsOwnAnswer == nil || x.conn.pool.IsOwnAnswer(resp.Header, x.r.ID) {
@@ -239,7 +239,7 @@
 
 // noteIdleTimeout notes how long the target keeps the connection open while idle.
 func (x *exchange) noteIdleTimeout(resp *http.Response) {
-	if resp.Close || resp.StatusCode == http.StatusSwitchingProtocols {
+	if resp.Close {
 		x.conn.unusable = true
 	}
 	for part := range strings.SplitSeq(resp.Header.Get("Keep-Alive"), ",") {
--- /dev/null
+++ b/internal/edge/sqheader/check.go
@@ -0,0 +1,28 @@
+package sqheader
+
+import (
+	"net/http"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/net/http/httpguts"
+)
+
+// maxStatus is the highest status that HTTP defines a class for.
+const maxStatus = 599
+
+// CheckHead returns an error if the head of an answer is broken although net/http has read
+// it: net/http takes any three characters that are a number for a status. Informational
+// answers are allowed, but for 101: no request asks for another protocol.
+func CheckHead(answer *http.Response) error {
+	switch {
+	case answer.ProtoMajor != 1:
+		return errors.Errorf("version %q is not one of HTTP/1", answer.Proto)
+	case answer.StatusCode < http.StatusContinue || answer.StatusCode > maxStatus:
+		return errors.Errorf("status %d is out of range", answer.StatusCode)
+	case answer.StatusCode == http.StatusSwitchingProtocols:
+		return errors.New("protocol is switched without a request for it")
+	case !httpguts.ValidHeaderFieldValue(answer.Status):
+		return errors.New("reason phrase has a control character")
+	}
+	return nil
+}
