An answer with a broken name in its head or trailer is a failure

A blank at the end of a field's name or inside it: callers got 200, complete, without that line. With "Transfer-Encoding : chunked" the body was the framing of the chunks, or with a length beside it the first bytes of that. With "Content-Length : 5" and an open connection the request was held until its timeout. A blank in a trailer's name was passed over.

Cause: net/http keeps names with blanks as they are and then finds none of them; all other characters that no name may have are errors there.

CheckHead requires the names to be tokens (RFC 9110, section 5.1; RFC 9112, section 5.1: a proxy has to remove the blank or, as here, to give up the answer), also in informational answers. CheckTrailer requires the same once the body has ended. Lines that are folded are joined, as before.

TestHeads and TestBrokenHeadIsAnHonestFailure failed before in 13 cases: four names in a head (two of them around informational answers), five fields with a meaning of their own (Connection, Keep-Alive, Content-Encoding, the id, Content-Length), Transfer-Encoding with and without a length, two trailers. Names with NUL, control characters, CR, LF or a parenthesis, without a name or a colon, and values with NUL or a control character failed as they should.

--- a/internal/edge/sqconn/exchange.go
+++ b/internal/edge/sqconn/exchange.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
 )
 
 // Request is a request to a target.
@@ -220,7 +222,7 @@
 		if x.conn.pool.IsOwnAnswer == nil || x.conn.pool.IsOwnAnswer(resp.Header, x.r.ID) {
 			in.left = unlimited
 			x.noteIdleTimeout(resp)
-			resp.Body = &body{ReadCloser: resp.Body, x: x, unframed: isUnframed(resp)}
+			resp.Body = &body{ReadCloser: resp.Body, x: x, answer: resp, unframed: isUnframed(resp)}
 			return resp, nil
 		}
 		foreign++
@@ -288,16 +290,16 @@
 type body struct {
 	io.ReadCloser
 	x        *exchange
+	answer   *http.Response
 	unframed bool
 }
 
-// Read reads the next part. An answer that ends with its connection is complete only if the
-// target has closed that.
+// Read reads the next part.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF && b.unframed {
-		if failure := b.x.conn.out.stop(); failure != nil {
-			err = errors.Wrap(failure, "answer is incomplete")
+	if err == io.EOF {
+		if failure := b.checkEnd(); failure != nil {
+			err = failure
 		}
 	}
 	if err != nil {
@@ -306,6 +308,17 @@
 	return n, err
 }
 
+// checkEnd returns an error if the answer is not complete although its body has ended. An
+// answer that ends with its connection is complete only if the target has closed that.
+func (b *body) checkEnd() error {
+	if b.unframed {
+		if failure := b.x.conn.out.stop(); failure != nil {
+			return errors.Wrap(failure, "answer is incomplete")
+		}
+	}
+	return sqheader.CheckTrailer(b.answer)
+}
+
 // Close ends the exchange. If the answer was not read to its end, the connection is
 // closed.
 func (b *body) Close() error {
--- a/internal/edge/sqheader/check.go
+++ b/internal/edge/sqheader/check.go
@@ -11,8 +11,9 @@
 const maxStatus = 599
 
 // CheckHead returns an error if the head of an answer is broken although net/http has read
-// it: net/http takes any three characters that are a number for a status. Informational
-// answers are allowed, but for 101: no request asks for another protocol.
+// it: net/http takes any three characters that are a number for a status, and ignores fields
+// whose names contain a blank. Informational answers are allowed, but for 101: no request
+// asks for another protocol.
 func CheckHead(answer *http.Response) error {
 	switch {
 	case answer.ProtoMajor != 1:
@@ -24,5 +25,29 @@
 	case !httpguts.ValidHeaderFieldValue(answer.Status):
 		return errors.New("reason phrase has a control character")
 	}
+	return checkNames(answer.Header)
+}
+
+// CheckTrailer returns an error if a field of an answer's trailer is broken. The answer's
+// body must have been read to its end.
+func CheckTrailer(answer *http.Response) error {
+	for name, values := range answer.Trailer {
+		// Names without values were only announced.
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrap(invalidName(name), "trailer")
+		}
+	}
+	return nil
+}
+
+// checkNames checks the names of fields. net/http has checked the values.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return invalidName(name)
+		}
+	}
 	return nil
 }
+
+func invalidName(name string) error { return errors.Errorf("field name %.100q is not a token", name) }
