The failure after a panic has no field of another answer

A handler that panicked after it had set the fields of a target's answer, and before it wrote them, left them in the head of the daemon's own 500: callers of the platform saw a failure with a Response-Signature, an Instance-Load and a Request-Id.

Cause: the head of the answer is one map for the handler and for the handler of its panic. recoverPanics clears it now.

TestPanicAfterFieldsOfAnswer failed before ("of the target" in the 500).

--- a/internal/edge/sqdaemon/cut_test.go
+++ b/internal/edge/sqdaemon/cut_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httputil"
 	"strings"
 	"sync/atomic"
@@ -135,6 +136,28 @@
 	}
 }
 
+// TestPanicAfterFieldsOfAnswer guards against fields of an answer that stand in the head of the
+// failure that is written after a panic.
+func TestPanicAfterFieldsOfAnswer(t *testing.T) {
+	s := httptest.NewServer(recoverPanics(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		h := w.Header()
+		h.Set("Signature", "of the target")
+		h.Set("Content-Length", "5")
+		h.Add("Connection", "keep-alive")
+		w.WriteHeader(0)
+	}), logr.Discard()))
+	defer s.Close()
+	resp, err := http.Get(s.URL)
+	qt.Assert(t, err, qt.IsNil)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusInternalServerError)
+	qt.Check(t, resp.Header.Get("Signature"), qt.Equals, "")
+	qt.Check(t, resp.Close, qt.IsTrue)
+	qt.Check(t, string(text), qt.Contains, `"status":500`)
+}
+
 // TestCutHeadIsAnHonestFailure guards against an answer that is cut in its head, at each
 // byte, and reaches the caller as a success, or has a non-idempotent request run again. The
 // target is beside the entry, or beside another daemon.
--- a/internal/edge/sqdaemon/listen.go
+++ b/internal/edge/sqdaemon/listen.go
@@ -91,6 +91,8 @@
 			if p != http.ErrAbortHandler {
 				log.Error(errors.Errorf("panic: %v", p), "handler panicked", "path", r.URL.Path)
 				if !a.begun {
+					// The handler may have set the fields of another answer.
+					clear(w.Header())
 					if r.ProtoMajor == 1 {
 						// A part of the request's body may be left on the connection.
 						w.Header().Set("Connection", "close")
