A replay without an answer doesn't run the operation again

A keeper that says that an operation has run, but sends no recorded answer, had the entry run the operation once more; the handler then panicked.

Cause: Begin returned neither an operation nor an answer nor a refusal, and the entry takes that for a grant.

TestReplayWithoutAnswer failed before with a nil dereference.

--- a/internal/edge/sqclaim/operation.go
+++ b/internal/edge/sqclaim/operation.go
@@ -53,7 +53,10 @@
 	case sqclaimwire.ClaimAnswer_GRANTED:
 		return o, nil, nil
 	case sqclaimwire.ClaimAnswer_REPLAY:
-		return nil, answerFromWire(answer.GetAnswer()), nil
+		if recorded := answerFromWire(answer.GetAnswer()); recorded != nil {
+			return nil, recorded, nil
+		}
+		return nil, nil, sqerror.Uncertain(sqerror.StepOperation, sqreason.OperationUnknown, errors.New("keeper has sent no recorded answer"))
 	case sqclaimwire.ClaimAnswer_RUNNING:
 		e := sqerror.Uncertain(sqerror.StepOperation, sqreason.OperationRunning, nil)
 		e.RetryAfter = runningRetryAfter
