A recorded answer that can't be written is not sent in part

A repeat of an operation whose recorded answer has a broken head, as a daemon of an older release may have recorded it, got a 500 with the target's fields (status below 100), a 103 and then a 200, a 600, or a 201 without the line whose name has a blank.

Cause: replay wrote what the record says, without a look at it.

The entry checks the record like a forwarded answer, before it sets anything. What it rejects is operation-unknown: 502, run unknown.

TestBrokenRecordedAnswer failed before in each of seven broken cases.

--- a/internal/edge/sqdaemon/peer_test.go
+++ b/internal/edge/sqdaemon/peer_test.go
@@ -1,6 +1,8 @@
 package sqdaemon
 
 import (
+	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -11,8 +13,10 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/grpc"
 
+	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
+	"github.com/sequoiatack/sequoiatack/internal/policy/sqoperation"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
 )
@@ -159,3 +163,62 @@
 	qt.Check(t, resp.ContentLength, qt.Equals, int64(5))
 	qt.Check(t, text, qt.Equals, "")
 }
+
+// recordedAnswer has an answer for each operation.
+type recordedAnswer struct {
+	noOperations
+	answer *sqoperation.Answer
+}
+
+// Begin returns the answer.
+func (r recordedAnswer) Begin(context.Context, sqoperation.Key, sqoperation.Fingerprint, time.Time) (func(sqoperation.Outcome), *sqoperation.Answer, *sqerror.Error) {
+	return nil, r.answer, nil
+}
+
+// TestBrokenRecordedAnswer guards against a recorded answer that can't be written, such as one
+// that a daemon of an older release has recorded, and that reaches the caller in part.
+func TestBrokenRecordedAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		field  string
+		broken bool
+	}{
+		"sound":                  {status: 201, field: "X-Name"},
+		"no status":              {status: 0, field: "X-Name", broken: true},
+		"status 99":              {status: 99, field: "X-Name", broken: true},
+		"status 103":             {status: 103, field: "X-Name", broken: true},
+		"status 600":             {status: 600, field: "X-Name", broken: true},
+		"a blank in a name":      {status: 201, field: "X-Name ", broken: true},
+		"a transfer encoding":    {status: 201, field: "Transfer-Encoding", broken: true},
+		"a field of the product": {status: 201, field: "Sequoia-Run", broken: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1, planAllowing(0, "photos"))
+			f.target(0, "photos", func(http.ResponseWriter, *http.Request) { t.Error("the operation ran again") })
+			f.nodes[0].entry.Operations = recordedAnswer{answer: &sqoperation.Answer{
+				Status: c.status, Body: []byte("whole"),
+				Headers: []sqoperation.Header{{Name: "Mark", Value: "of the target"}, {Name: c.field, Value: "v"}},
+			}}
+			r, err := http.NewRequest(http.MethodPost, f.nodes[0].caller.URL+"/photos/1", nil)
+			qt.Assert(t, err, qt.IsNil)
+			r.Header.Set("Authorization", "Bearer "+testKey)
+			r.Header.Set("Idempotency-Key", "k")
+			resp, err := http.DefaultClient.Do(r)
+			qt.Assert(t, err, qt.IsNil)
+			text, err := io.ReadAll(resp.Body)
+			qt.Assert(t, err, qt.IsNil)
+			_ = resp.Body.Close()
+			comment := qt.Commentf("%v %q", resp, text)
+			if c.broken {
+				qt.Check(t, resp.StatusCode, qt.Equals, http.StatusBadGateway, comment)
+				qt.Check(t, resp.Header.Get("Sequoia-Run"), qt.Equals, "unknown", comment)
+				qt.Check(t, resp.Header.Get("Mark"), qt.Equals, "", comment)
+				qt.Check(t, string(text), qt.Contains, `"reason":"operation-unknown"`, comment)
+				return
+			}
+			qt.Check(t, resp.StatusCode, qt.Equals, c.status, comment)
+			qt.Check(t, resp.Header.Get("Mark"), qt.Equals, "of the target", comment)
+			qt.Check(t, string(text), qt.Equals, "whole", comment)
+		})
+	}
+}
--- a/internal/edge/sqentry/operation.go
+++ b/internal/edge/sqentry/operation.go
@@ -49,8 +49,7 @@
 	case refusal != nil:
 		return refusal
 	case replay != nil:
-		q.replay(w, replay)
-		return nil
+		return q.replay(w, replay)
 	}
 	outcome := sqoperation.Outcome{Run: squnit.RunUnknown}
 	defer func() { finish(outcome) }()
@@ -67,18 +66,25 @@
 	return refusal
 }
 
-// replay answers a repeat with the operation's first answer.
-func (q *request) replay(w http.ResponseWriter, a *sqoperation.Answer) {
-	h := w.Header()
+// replay answers a repeat with the operation's first answer, which may come from another
+// daemon.
+func (q *request) replay(w http.ResponseWriter, a *sqoperation.Answer) *sqerror.Error {
+	head := &sqcallwire.AnswerHead{Status: uint32(a.Status)}
 	for _, x := range a.Headers {
-		h.Add(x.Name, x.Value)
+		head.Headers = append(head.Headers, &sqcallwire.Header{Name: x.Name, Value: []byte(x.Value)})
+	}
+	if err := sqheader.CheckForwarded(head); err != nil {
+		return sqerror.Uncertain(sqerror.StepOperation, sqreason.OperationUnknown, errors.Wrap(err, "recorded answer"))
 	}
+	h := w.Header()
+	sqheader.Add(h, head.GetHeaders())
 	q.setAnswerHeaders(h, squnit.RunDone)
 	h.Set(sqheader.Replayed, "true")
 	h.Set("Content-Length", formatLength(int64(len(a.Body))))
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
 	q.entry.Metrics.Calls.WithLabelValues(squnit.RunDone.String()).Inc()
+	return nil
 }
 
 // recorder keeps a copy of an answer for repeats while it is passed on.
--- a/internal/edge/sqheader/check.go
+++ b/internal/edge/sqheader/check.go
@@ -56,7 +56,7 @@
 func invalidName(name string) error { return errors.Errorf("field name %.100q is not a token", name) }
 
 // CheckForwarded returns an error if the head of an answer that another daemon has forwarded
-// can't be written to a caller as it is.
+// or kept can't be written to a caller as it is.
 func CheckForwarded(head *sqcallwire.AnswerHead) error {
 	if s := head.GetStatus(); s < http.StatusOK || s > maxStatus {
 		return errors.Errorf("status %d is out of range", s)
