--- a/internal/standin/sqanswer/answer.go
+++ b/internal/standin/sqanswer/answer.go
@@ -22,6 +22,15 @@
 	Value string
 }
 
+// WithBody returns the text of the answer with another body than "whole", and its length.
+func (a Answer) WithBody(body string) string {
+	length := strconv.Itoa(len(body))
+	return strings.NewReplacer(
+		"5\r\nwhole", strconv.FormatInt(int64(len(body)), 16)+"\r\n"+body, "whole", body,
+		"Content-Length: 5", "Content-Length: "+length, "Content-Length : 5", "Content-Length : "+length,
+	).Replace(a.Text)
+}
+
 //go:embed heads.txt
 var heads string
 
