The operators' client takes no answer whose head is broken

sequoiatack status, and the commands for lists, showed what an answer with a broken head says.

The client has a transport of its own, a CheckedTransport; it was net/http's default client.

--- a/internal/edge/sqoperator/client.go
+++ b/internal/edge/sqoperator/client.go
@@ -17,6 +17,7 @@
 	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqadmin"
+	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqproblem"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqlists"
 )
@@ -26,6 +27,10 @@
 	maxAnswerBytes = 16 << 20
 )
 
+var httpClient = &http.Client{Transport: sqheader.CheckedTransport{Transport: &http.Transport{
+	Proxy: http.ProxyFromEnvironment, IdleConnTimeout: callTimeout,
+}}}
+
 // Client calls the API of one daemon with an operator's key.
 type Client struct {
 	// Address is the daemon's adminAddress, as IP:port.
@@ -113,7 +118,7 @@
 	if match != "" {
 		r.Header.Set("If-Match", match)
 	}
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := httpClient.Do(r)
 	if err != nil {
 		return nil, nil, &sqerror.Error{Step: sqerror.StepAdmin, Peer: sqid.DaemonID(c.Address), Err: err}
 	}
