An answer that another daemon forwards as not run is broken

An answer with status 200 that another daemon calls not-run reached callers of the product's own protocol as 200 with "Sequoia-Run: not-run": the word that it may be sent again, on a request that ran.

Cause: the run state of a forwarded head was passed on unchecked. Gates of all releases send "run" with the answer of a target.

peerAnswer requires that. TestBrokenAnswerOfPeer failed before in the case "an answer that has not run".

--- a/internal/edge/sqdaemon/peer_test.go
+++ b/internal/edge/sqdaemon/peer_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sequoiatack/sequoiatack/internal/base/sqerror"
 	"github.com/sequoiatack/sequoiatack/internal/base/sqid"
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
 	"github.com/sequoiatack/sequoiatack/internal/policy/sqoperation"
 	"github.com/sequoiatack/sequoiatack/internal/state/sqtarget"
@@ -52,7 +53,7 @@
 }
 
 func headFrame(status uint32, length int64, fields ...string) *sqcallwire.AnswerFrame {
-	head := &sqcallwire.AnswerHead{Status: status, Run: 2, ContentLength: length}
+	head := &sqcallwire.AnswerHead{Status: status, Run: uint32(squnit.RunDone), ContentLength: length}
 	for _, field := range append([]string{"Mark: of the target"}, fields...) {
 		name, value, _ := strings.Cut(field, ": ")
 		head.Headers = append(head.Headers, &sqcallwire.Header{Name: name, Value: []byte(value)})
@@ -72,6 +73,8 @@
 // refused.
 func TestBrokenAnswerOfPeer(t *testing.T) {
 	long := strings.Repeat("p", sqgate.FrameBytes)
+	notRun := headFrame(200, 5)
+	notRun.Head.Run = uint32(squnit.RunNot)
 	type frames = []*sqcallwire.AnswerFrame
 	whole := func(head *sqcallwire.AnswerFrame) frames { return frames{withBody(head, "whole", true)} }
 	part := func(body string, last bool) *sqcallwire.AnswerFrame {
@@ -103,6 +106,7 @@
 		"a length among the fields":            {frames: whole(headFrame(200, -1, "Content-Length: 3"))},
 		"a field of the connection":            {frames: whole(headFrame(200, 5, "Connection: upgrade"))},
 		"a field of the product":               {frames: whole(headFrame(200, 5, "Sequoia-Run: not-run"))},
+		"an answer that has not run":           {frames: whole(notRun)},
 		"a body that is too short":             {frames: whole(headFrame(200, 6))},
 		"a body that is too long":              {frames: whole(headFrame(200, 4))},
 		"a body that is not announced":         {frames: whole(headFrame(200, 0))},
--- a/internal/edge/sqentry/peeranswer.go
+++ b/internal/edge/sqentry/peeranswer.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/sequoiatack/sequoiatack/internal/base/squnit"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqgate"
 	"github.com/sequoiatack/sequoiatack/internal/edge/sqheader"
 	"github.com/sequoiatack/sequoiatack/internal/wire/sqcallwire"
@@ -40,6 +41,9 @@
 			return errors.New("second head")
 		}
 		p.head = head
+		if run := squnit.RunState(head.GetRun()); run != squnit.RunDone {
+			return errors.Errorf("answer of a target with run state %q", run)
+		}
 		if err := sqheader.CheckForwarded(head); err != nil {
 			return err
 		}
