--- a/internal/edge/sqconn/head_test.go
+++ b/internal/edge/sqconn/head_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -37,7 +36,7 @@
 						continue
 					}
 					_, _ = io.WriteString(c, a.Text)
-					if a.Name == "version HTTP/1.0, no length" {
+					if a.Sound && a.EndsWithConn() {
 						return
 					}
 				}
@@ -64,17 +63,3 @@
 		})
 	}
 }
-
-// doWhole sends a request and reads its answer to the end.
-func doWhole(t *testing.T, p *sqconn.Pool, address string, r *sqconn.Request) (*http.Response, string, error) {
-	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
-	defer cancel()
-	resp, err := p.Do(ctx, address, r)
-	if err != nil {
-		return nil, "", err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	return resp, string(text), err
-}
--- a/internal/edge/sqconn/pool_test.go
+++ b/internal/edge/sqconn/pool_test.go
@@ -64,16 +64,23 @@
 
 // do sends a request and returns its answer's body.
 func do(t *testing.T, p *sqconn.Pool, address string, r *sqconn.Request) (string, error) {
+	t.Helper()
+	_, text, err := doWhole(t, p, address, r)
+	return text, err
+}
+
+// doWhole sends a request, and reads its answer to the end.
+func doWhole(t *testing.T, p *sqconn.Pool, address string, r *sqconn.Request) (*http.Response, string, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
 	resp, err := p.Do(ctx, address, r)
 	if err != nil {
-		return "", err
+		return nil, "", err
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
-	return string(text), err
+	return resp, string(text), err
 }
 
 // TestRequestIsUnchanged tests that the request line arrives as given, and that
--- a/internal/standin/sqanswer/answer.go
+++ b/internal/standin/sqanswer/answer.go
@@ -22,6 +22,11 @@
 	Value string
 }
 
+// EndsWithConn reports whether the answer has neither a length nor chunks.
+func (a Answer) EndsWithConn() bool {
+	return !strings.Contains(a.Text, "Content-Length") && !strings.Contains(a.Text, "Transfer-Encoding")
+}
+
 // WithBody returns the text of the answer with another body than "whole", and its length.
 func (a Answer) WithBody(body string) string {
 	length := strconv.Itoa(len(body))
@@ -55,18 +60,20 @@
 	const brokenColumns, soundColumns = 3, 4
 	a := Answer{Sound: columns[0] == "sound"}
 	switch {
-	case !a.Sound && (columns[0] != "broken" || len(columns) != brokenColumns):
-		return a, errors.New("no verdict, or not three columns")
 	case a.Sound && len(columns) != soundColumns:
-		return a, errors.New("not four columns")
+		return a, errors.Errorf("%d columns, want %d", len(columns), soundColumns)
+	case !a.Sound && (columns[0] != "broken" || len(columns) != brokenColumns):
+		return a, errors.Errorf("no verdict, or not %d columns", brokenColumns)
 	}
 	a.Name = columns[1]
-	for i, to := range []*string{&a.Text, &a.Value}[:len(columns)-2] {
-		text, err := strconv.Unquote(columns[i+2])
-		if err != nil {
-			return a, err
+	var err error
+	if a.Text, err = strconv.Unquote(columns[2]); err != nil {
+		return a, errors.Wrap(err, "text")
+	}
+	if a.Sound {
+		if a.Value, err = strconv.Unquote(columns[3]); err != nil {
+			return a, errors.Wrap(err, "value")
 		}
-		*to = text
 	}
 	return a, nil
 }
