Stand-ins say that they close a connection after a sound answer

TestBrokenHeadsReachNoClient failed beside load: a sound answer was a 502 in 12 of 37 runs at loads of 12 to 18. Traced: the request had not reached the instance's handler (0 runs); the stand-in closed each connection after a sound answer without a word, and the next request crossed the close. That is the instance's to announce; a 502, run unknown, is the honest answer.

--- a/internal/standin/sqanswer/answer.go
+++ b/internal/standin/sqanswer/answer.go
@@ -27,6 +27,12 @@
 	return !strings.Contains(a.Text, "Content-Length") && !strings.Contains(a.Text, "Transfer-Encoding")
 }
 
+// Closing returns the text of a sound answer with the word that its connection is closed after
+// it.
+func (a Answer) Closing() string {
+	return strings.Replace(a.Text, "Id: 1", "Connection: close\r\nId: 1", 1)
+}
+
 // WithBody returns the text of the answer with another body than "whole", and its length.
 func (a Answer) WithBody(body string) string {
 	length := strconv.Itoa(len(body))
