An early answer to an upload in chunks is not reset while the caller sends

Callers that sent an upload in chunks got 200 and a part of an early answer, then the end of the connection.

Cause: the end of the attempt ends a read from the caller by a deadline, and the decoder of chunks keeps that error. linger then reads nothing, the server's own discarding neither, and since the server takes the body's end for read it closes at once: with unread bytes, so the connection is reset and the rest of the answer dropped.

Evidence: 54 of 2,160 sound early answers of three frames, only in chunks and with the entry's handler ended in order (no abort was logged by a probe).

If the end of the body was not reached, http.MaxBytesReader tells the server that it is past its limit: it sends FIN, waits 500 ms and closes, as it does for bodies with a length.

--- a/internal/edge/sqdaemon/early_test.go
+++ b/internal/edge/sqdaemon/early_test.go
@@ -30,6 +30,8 @@
 	// caller is the version of the request, which is sent in chunks if chunked is set.
 	caller  string
 	chunked bool
+	// readAfter is when the caller begins to read the answer.
+	readAfter time.Duration
 }
 
 // answer sends the answer and ends the connection.
@@ -67,6 +69,7 @@
 		_, err := io.CopyN(w, zeros{}, uploadBytes)
 		sent <- err
 	}()
+	time.Sleep(a.readAfter)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err == nil {
 		status = resp.StatusCode
@@ -126,3 +129,22 @@
 	}
 	return all
 }
+
+// TestEarlyAnswerIsNotReset guards against a sound early answer to an upload in chunks that the
+// caller can't read to its end, since its connection is reset while it still sends.
+func TestEarlyAnswerIsNotReset(t *testing.T) {
+	for _, place := range []int{0, 1} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("node %d/chunked %v", place, chunked), func(t *testing.T) {
+				t.Parallel()
+				a := earlyAnswer{place: place, head: "HTTP/1.1 200 OK\r\nConnection: close", size: 3 * sqgate.FrameBytes, caller: "HTTP/1.1", chunked: chunked, readAfter: 100 * time.Millisecond}
+				f := newFleet(t, 2, planAllowing(0, "photos"))
+				f.target(place, "photos", func(w http.ResponseWriter, _ *http.Request) { a.answer(hijack(t, w)) })
+				for range 20 {
+					status, body, _, err := a.upload(f.nodes[0])
+					qt.Check(t, err, qt.IsNil, qt.Commentf("status %d, %d of %d bytes", status, len(body), a.size))
+				}
+			})
+		}
+	}
+}
--- a/internal/edge/sqentry/body.go
+++ b/internal/edge/sqentry/body.go
@@ -96,13 +96,12 @@
 }
 
 // linger reads what is left of the body after the answer, so that the caller can read that
-// before its connection is closed. No attempt may be under way.
-func (b *body) linger() {
-	if !b.isLeft() {
-		return
-	}
+// before its connection is closed, and reports whether it has read the end of the body. It
+// reads nothing if a read from a body in chunks was interrupted. No attempt may be under way.
+func (b *body) linger() bool {
 	_ = b.setReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyN(io.Discard, b.rest, lingerBytes)
+	_, err := io.CopyN(io.Discard, b.rest, lingerBytes)
+	return err == io.EOF
 }
 
 // endAttempt ends the reading of the latest attempt. When it returns, nobody reads from the
--- a/internal/edge/sqentry/request.go
+++ b/internal/edge/sqentry/request.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -173,12 +175,24 @@
 
 // linger sends what there is of the answer and reads the rest of the request's body.
 func (q *request) linger(w http.ResponseWriter) {
-	if q.protoMajor == 1 && q.body != nil && q.body.isLeft() {
-		_ = http.NewResponseController(w).Flush()
-		q.body.linger()
+	if q.protoMajor != 1 || q.body == nil || !q.body.isLeft() {
+		return
+	}
+	_ = http.NewResponseController(w).Flush()
+	if !q.body.linger() {
+		avoidReset(w)
 	}
 }
 
+// avoidReset has the server end its side of the connection and wait, before it closes the
+// connection and thereby resets it: a caller that still sends would lose what it has not read
+// of the answer. The server does that for bodies past a limit.
+func avoidReset(w http.ResponseWriter) {
+	const limit = 0
+	past := http.MaxBytesReader(serverWriter(w), io.NopCloser(strings.NewReader("x")), limit)
+	_, _ = past.Read(make([]byte, 1))
+}
+
 // boundDiscard bounds the time for which the server reads the body of a request before it
 // sends the refusal. If the body is not at its end then, it closes the connection.
 func boundDiscard(w http.ResponseWriter, length int64) {
