--- a/internal/edge/sqheader/header.go
+++ b/internal/edge/sqheader/header.go
@@ -1,5 +1,5 @@
 // Package sqheader defines the headers of the outside interface, and which headers are
-// forwarded between callers and targets.
+// forwarded between callers and targets. It checks the heads of answers.
 package sqheader
 
 import (
