--- a/internal/edge/sqclaim/convert_test.go
+++ b/internal/edge/sqclaim/convert_test.go
@@ -51,7 +51,7 @@
 	op, replay, refusal := s.Begin(context.Background(), key, 1, time.Now().Add(time.Second))
 	qt.Assert(t, op, qt.IsNil)
 	qt.Assert(t, replay, qt.IsNil)
-	qt.Assert(t, refusal, qt.IsNotNil)
+	qt.Assert(t, refusal != nil, qt.IsTrue, qt.Commentf("neither granted, nor answered, nor refused"))
 	qt.Check(t, refusal.Reason, qt.Equals, sqreason.OperationUnknown)
 	qt.Check(t, refusal.Run, qt.Equals, squnit.RunUnknown)
 }
--- a/internal/edge/sqconn/head.go
+++ b/internal/edge/sqconn/head.go
@@ -38,7 +38,7 @@
 
 // readHTTP10Head reads a head of HTTP/1.0, which has no transfer encodings. net/http removes
 // the field from such a head and takes the framing for a part of the body; RFC 9112, section
-// 6.1, has the answer be given up. To find the field, a copy of the bytes is kept.
+// 6.1, has such a framing be taken as faulty. To find the field, a copy of the bytes is kept.
 func readHTTP10Head(c *conn, request *http.Request) (*http.Response, error) {
 	raw := new(bytes.Buffer)
 	buffered, _ := c.br.Peek(c.br.Buffered())
--- a/internal/edge/sqdaemon/peer_test.go
+++ b/internal/edge/sqdaemon/peer_test.go
@@ -120,7 +120,7 @@
 		"a sound answer without a length":      {frames: whole(headFrame(200, -1)), status: 200},
 		"a sound answer with the last status":  {frames: whole(headFrame(599, 5)), status: 599},
 		"a sound answer in frames":             {frames: frames{withBody(headFrame(404, 5), "who", false), part("le", true)}, status: 404},
-		"a sound answer with an empty trailer": {frames: frames{withBody(headFrame(200, -1), "whole", false), part("", true)}, status: 200},
+		"a sound answer, its last frame empty": {frames: frames{withBody(headFrame(200, -1), "whole", false), part("", true)}, status: 200},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 1, planAllowing(1, "photos"))
